Place by shared beginnings, share room between routers, bound engines by time

Reading of prompts and generation slow each other, so that a third of the streams was cut at the deadline; shared beginnings were read twice, since two homes halve the rate of use of each while memory is full within seconds; an account behind one router got a fifth of one behind nine.

Conclusion: a beginning has one home; others take it only while they have little to do; accounts that are ahead leave room to those that wait.

--- a/src/sesamespoke/messages.py
+++ b/src/sesamespoke/messages.py
@@ -205,10 +205,12 @@
     ``endpoints`` rows: endpoint, requests running, milliseconds of prompts
     to read. ``granted`` rows: account and cost since the last report; they
     are added up, so that a lost report loses some fairness, no safety.
+    ``waiting`` names the accounts that wait at the router.
     """
 
     endpoints: tuple[tuple[str, int, float], ...]
     granted: tuple[tuple[str, float], ...]
+    waiting: tuple[str, ...]
 
 
 Message = (
--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -9,24 +9,29 @@
 """
 
 import asyncio
-import math
 import random
+from bisect import insort
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.job import Job
 from sesamespoke.verdicts import Reason, Refusal, Verdict
 
 HOLD_FRACTION = 0.4
 """The part of its objective that a request may wait here."""
-USAGE_SECONDS = 4.0
-"""The time in which an account's past use loses its weight (1/e)."""
 PUMP_SECONDS = 0.02
 """How often waiting requests are tried without any other occasion."""
 RATE_WINDOW = 2.0
 """Seconds over which the rate of grants is measured."""
+MIN_QUEUE = 12
+"""Requests of one account that may wait, whatever the rate of late. One that
+was given nothing must show how much it asks for."""
+TRIED_REQUESTS = 8
+"""Waiting requests of one account that are tried; the first one's endpoint
+may be full while the next one's has room."""
 OUTPUT_COST = 2.0
 """What a generated token costs against one that is read."""
 MIN_RETRY_AFTER = 0.3
@@ -43,6 +48,7 @@
 )
 
 GrantT = TypeVar('GrantT')
+Place = Callable[[Job, float], GrantT | None]
 
 
 def cost_of(job: Job) -> float:
@@ -52,56 +58,37 @@
     return max(1, prompt.input_tokens + OUTPUT_COST * output)
 
 
-class Usage:
-    """What each account was given of late; older use counts less."""
-
-    def __init__(self, clock: Callable[[], float]) -> None:
-        """Start without any use."""
-        self._clock = clock
-        self._spent: dict[str, tuple[float, float]] = {}
-
-    def of(self, account: str) -> float:
-        """Return an account's use, faded to now."""
-        amount, at = self._spent.get(account, (0, 0))
-        if not amount:
-            return 0
-        return amount * math.exp((at - self._clock()) / USAGE_SECONDS)
-
-    def add(self, account: str, cost: float) -> None:
-        """Charge an account."""
-        self._spent[account] = (self.of(account) + cost, self._clock())
-
-
 @dataclass(slots=True, eq=False)
 class _Waiter(Generic[GrantT]):
     job: Job
     fut: asyncio.Future[GrantT | Refusal]
     give_up_at: float
-    place: Callable[[Job], GrantT | None]
+    place: Place[GrantT]
 
 
-_Queue = deque[_Waiter[GrantT]]
+_Queue = list[_Waiter[GrantT]]
 
 
 class WaitingRoom(Generic[GrantT]):
     """One service's requests that wait at this router.
 
-    A request's ``place`` returns its grant, or None while there is no room.
+    A request's ``place`` returns its grant, or None while there is no room
+    up to the fill of endpoints that it is given, 1 for all of it.
     """
 
     def __init__(
         self,
-        usage: Usage,
+        shares: FairShares,
         clock: Callable[[], float],
         give_back: Callable[[GrantT], None],
     ) -> None:
         """Start empty.
 
-        ``usage`` is shared by the rooms of all services; ``give_back``
+        ``shares`` is common to the rooms of all services; ``give_back``
         takes the grant of a caller that has just gone.
         """
         self.on_grant: Callable[[str, float], None] = _ignore
-        self._usage = usage
+        self._shares = shares
         self._give_back = give_back
         self._clock = clock
         self._queues: dict[str, _Queue[GrantT]] = {}
@@ -109,14 +96,19 @@
         self._timer: asyncio.TimerHandle | None = None
         self.waiting = 0
 
+    @property
+    def accounts(self) -> tuple[str, ...]:
+        """Return the accounts that wait here."""
+        return tuple(self._queues)
+
     async def admit(
         self,
         job: Job,
-        place: Callable[[Job], GrantT | None],
+        place: Place[GrantT],
     ) -> GrantT | Refusal:
         """Return a grant as soon as there is room, or a refusal."""
         if not self.waiting:
-            grant = place(job)
+            grant = place(job, self._shares.room(job.account))
             if grant is not None:
                 self._note_grant(job)
                 return grant
@@ -151,20 +143,28 @@
         while len(tried) < len(self._queues):
             account = min(
                 (name for name in self._queues if name not in tried),
-                key=self._usage.of,
+                key=self._shares.used,
             )
-            waiter = self._queues[account][0]
-            grant = waiter.place(waiter.job)
-            if grant is None:
+            if not self._grant_one(account):
                 tried.add(account)
-                continue
-            self._note_grant(waiter.job)
-            self._remove(waiter)
-            waiter.fut.set_result(grant)
+
+    def _grant_one(self, account: str) -> bool:
+        """Grant the most urgent request of an account that has room."""
+        fill = self._shares.room(account)
+        for waiter in self._queues[account][:TRIED_REQUESTS]:
+            grant = waiter.place(waiter.job, fill)
+            if grant is not None:
+                self._note_grant(waiter.job)
+                self._remove(waiter)
+                waiter.fut.set_result(grant)
+                return True
+        return False
 
     def _is_hopeless(self, job: Job, hold: float) -> bool:
         """Return whether a request's turn would come too late."""
         queue = self._queues.get(job.account, ())
+        if len(queue) < MIN_QUEUE:
+            return False
         accounts = len(self._queues) + (not queue)
         before = min(self.waiting, len(queue) * accounts)
         return before >= self._rate() * hold
@@ -179,12 +179,12 @@
     def _note_grant(self, job: Job) -> None:
         self._granted.append(self._clock())
         cost = cost_of(job)
-        self._usage.add(job.account, cost)
+        self._shares.add(job.account, cost)
         self.on_grant(job.account, cost)
 
     def _add(self, waiter: _Waiter[GrantT]) -> None:
-        queue = self._queues.setdefault(waiter.job.account, deque())
-        queue.append(waiter)
+        queue = self._queues.setdefault(waiter.job.account, [])
+        insort(queue, waiter, key=_urgency_of)
         self.waiting += 1
         if self._timer is None:
             self._wait_to_pump()
@@ -232,5 +232,11 @@
             self._wait_to_pump()
 
 
+def _urgency_of(waiter: _Waiter[GrantT]) -> tuple[int, float]:
+    """Return the order within an account: rank, then due time."""
+    job = waiter.job
+    return job.priority, job.arrived_at + job.route.objective
+
+
 def _ignore(account: str, cost: float) -> None:
     """Take no notice of a grant."""
--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -48,16 +48,20 @@
     def reserve(
         self,
         job: Job,
+        fill: float,
         avoided: frozenset[str],
     ) -> Reservation | None:
-        """Return a place at the best endpoint, or None without room."""
+        """Return a place at the best endpoint, or None without room.
+
+        Endpoints are used up to the ``fill`` of their bounds.
+        """
         catalog = self._catalog()
         service = catalog.services.get(job.service) if catalog else None
         if service is None:
             return None
         endpoints = self._directory.usable(service.name)
         candidates = self._candidates(service, endpoints, avoided)
-        placed = placer_for(service, endpoints)(job, candidates)
+        placed = placer_for(service, endpoints)(job, fill, candidates)
         if placed is None:
             return None
         endpoint = placed.endpoint
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -194,7 +194,9 @@
         rows = without(end_to_end(head.headers), 'content-length')
         answer = Answer(head.status, rows, content)
         names = self._line.names
-        if head.status == OTHER_ENDPOINT or names.not_run in head.headers:
+        if head.status == OTHER_ENDPOINT:
+            return OTHER_INCARNATION
+        if names.not_run in head.headers:
             return Attempt(
                 Verdict.NOT_RUN,
                 Outcome.REFUSED,
@@ -265,13 +267,15 @@
             events = feed_relay(feed_body(content))
             if not events:
                 return not (self._relay.overflowing or body.finished)
-            if self.first_byte_at is None:
+            is_first = self.first_byte_at is None
+            if is_first:
                 self._note_first_byte()
                 if not self._relay.follows(events):
                     raise Failure(BAD_ANSWER, 'the stream was not continued')
             if not reply.started:
                 self._start_reply(head)
-            return reply.send(events) and not body.finished
+            # The patience for the first event ends with its pump.
+            return reply.send(events) and not (is_first or body.finished)
 
         return take
 
@@ -311,6 +315,12 @@
         return b'\r\n\r\n'.join((head, job.body))
 
 
+OTHER_INCARNATION = Attempt(
+    Verdict.NOT_RUN,
+    Outcome.BROKEN,
+    reason=ENDPOINT_REFUSED,
+    detail='another endpoint has the address',
+)
 _STALE = Attempt(
     Verdict.MAY_HAVE_RUN,
     Outcome.BROKEN,
--- a/src/sesamespoke/serving/peer_loads.py
+++ b/src/sesamespoke/serving/peer_loads.py
@@ -7,10 +7,11 @@
 
 import asyncio
 from collections import defaultdict
-from typing import Protocol
+from collections.abc import Callable
 
 from sesamespoke.links import Links, View
 from sesamespoke.messages import RouterLoads
+from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.load import LoadBook, LoadRow
 
 REPORT_SECONDS = 0.1
@@ -19,13 +20,6 @@
 """An unchanged report is sent again every so many turns."""
 
 
-class AccountUse(Protocol):
-    """Where the use of accounts is added up."""
-
-    def add(self, account: str, cost: float) -> None:
-        """Charge an account."""
-
-
 class PeerLoads:
     """Sends this router's loads, and takes those of its peers."""
 
@@ -33,12 +27,14 @@
         self,
         links: Links,
         loads: LoadBook,
-        usage: AccountUse,
+        shares: FairShares,
+        waiting: Callable[[], tuple[str, ...]],
     ) -> None:
         """Listen to peers; ``run`` sends."""
         self._links = links
         self._loads = loads
-        self._usage = usage
+        self._shares = shares
+        self._waiting = waiting
         self._granted: defaultdict[str, float] = defaultdict(float)
         self._told: tuple[LoadRow, ...] = ()
         self._hosts: frozenset[str] = frozenset()
@@ -59,10 +55,13 @@
 
     def _report(self, *, forced: bool) -> None:
         rows = self._loads.rows()
-        if rows == self._told and not self._granted and not forced:
+        waiting = self._waiting()
+        self._shares.set_waiting(self._links.host, waiting)
+        is_news = rows != self._told or self._granted or waiting
+        if not (is_news or forced):
             return
         self._told = rows
-        message = RouterLoads(rows, tuple(self._granted.items()))
+        message = RouterLoads(rows, tuple(self._granted.items()), waiting)
         self._granted.clear()
         for host in self._links.view.hosts():
             if host != self._links.host:
@@ -70,11 +69,13 @@
 
     def _take(self, sender: str, message: RouterLoads) -> None:
         self._loads.take(sender, message.endpoints)
+        self._shares.set_waiting(sender, message.waiting)
         for account, cost in message.granted:
-            self._usage.add(account, cost)
+            self._shares.add(account, cost)
 
     def _watch_view(self, view: View) -> None:
         hosts = frozenset(view.hosts())
         for host in self._hosts - hosts:
             self._loads.forget(host)
+            self._shares.forget(host)
         self._hosts = hosts
--- a/src/sesamespoke/serving/placement.py
+++ b/src/sesamespoke/serving/placement.py
@@ -22,8 +22,11 @@
 from sesamespoke.serving.job import Job, Prompt
 from sesamespoke.serving.load import Load
 
-HOMES = 2
-"""Endpoints that are expected to keep one shared beginning."""
+HOMES = 1
+"""Endpoints that are expected to keep one shared beginning. Memory is full
+within seconds, so that a second one would rarely keep it till its next use."""
+SPILL_FRACTION = 0.15
+"""The part of its bounds up to which an engine takes what it has not read."""
 TOKENS_READ_PER_MS = 45.0
 """What an undisturbed engine reads; each endpoint's pace corrects it."""
 BATCH_MS = 20.0
@@ -32,9 +35,9 @@
 """What each further request in the batch adds to the first token."""
 PLAIN_CALL_MS = 40.0
 """A plain call's work; each endpoint's pace corrects it."""
-MAX_READING_MS = 450.0
+MAX_READING_MS = 250.0
 """More unread prompts at an engine would make each of them late."""
-BATCH_FRACTION = 0.5
+BATCH_FRACTION = 0.3
 """The part of an engine's slots in use beyond which tokens come slowly."""
 PLAIN_QUEUE = 1.5
 """Requests given to a plain endpoint at once, as a multiple of its slots."""
@@ -91,21 +94,24 @@
 
 def place_generation(
     job: Job,
+    fill: float,
     service: RoutedService,
     candidates: Iterable[Candidate],
     homes: frozenset[str],
 ) -> Placed | None:
-    """Return the engine with the earliest first token, if one has room."""
-    slots = service.engine.slots if service.engine else 1
+    """Return the engine with the earliest first token, if one has room.
+
+    An engine that has not read the shared beginning takes the request only
+    while it has little to do: reading it again costs every other caller.
+    """
     best: Placed | None = None
     for candidate in candidates:
-        load = candidate.load
-        if load.running >= slots * BATCH_FRACTION:
-            continue
-        if load.reading * candidate.pace > MAX_READING_MS:
+        at_home = not homes or candidate.endpoint.name in homes
+        share = fill if at_home else fill * SPILL_FRACTION
+        if not _has_room(service, candidate, share):
             continue
-        name = candidate.endpoint.name
-        unread = unread_tokens(job.prompt, at_home=name in homes)
+        load = candidate.load
+        unread = unread_tokens(job.prompt, at_home=at_home)
         reading = unread / TOKENS_READ_PER_MS
         work = load.reading + reading + load.running * MS_PER_RUNNING
         expected = (work + BATCH_MS) * candidate.pace
@@ -114,13 +120,29 @@
     return best
 
 
-def place_call(candidates: Iterable[Candidate]) -> Placed | None:
+def _has_room(
+    service: RoutedService,
+    candidate: Candidate,
+    share: float,
+) -> bool:
+    """Return whether an engine is below a share of its bounds."""
+    slots = service.engine.slots if service.engine else 1
+    load = candidate.load
+    if load.running >= slots * BATCH_FRACTION * share:
+        return False
+    return load.reading * candidate.pace <= MAX_READING_MS * share
+
+
+def place_call(
+    fill: float,
+    candidates: Iterable[Candidate],
+) -> Placed | None:
     """Return the plain endpoint with the shortest queue, if one has room."""
     best: Placed | None = None
     for candidate in candidates:
         slots = candidate.endpoint.slots
         running = candidate.load.running
-        if running >= slots * PLAIN_QUEUE:
+        if running >= slots * PLAIN_QUEUE * fill:
             continue
         queue = max(0, running + 1 - slots) / slots
         expected = PLAIN_CALL_MS * candidate.pace * (1 + queue)
@@ -130,7 +152,7 @@
     return best
 
 
-Place = Callable[[Job, Iterable[Candidate]], Placed | None]
+Place = Callable[[Job, float, Iterable[Candidate]], Placed | None]
 
 
 def placer_for(
@@ -139,10 +161,14 @@
 ) -> Place:
     """Return how requests for a service are placed."""
     if service.engine is None:
-        return lambda job, candidates: place_call(candidates)
+        return lambda job, fill, candidates: place_call(fill, candidates)
 
-    def place(job: Job, candidates: Iterable[Candidate]) -> Placed | None:
+    def place(
+        job: Job,
+        fill: float,
+        candidates: Iterable[Candidate],
+    ) -> Placed | None:
         homes = homes_of(job.prompt.affinity, endpoints)
-        return place_generation(job, service, candidates, homes)
+        return place_generation(job, fill, service, candidates, homes)
 
     return place
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -12,10 +12,11 @@
 from sesamespoke.peers import PeerStreams
 from sesamespoke.quarantine import Quarantine
 from sesamespoke.request_server import ServerSettings
-from sesamespoke.serving.admission import Usage, WaitingRoom
+from sesamespoke.serving.admission import WaitingRoom
 from sesamespoke.serving.chooser import Chooser, Reservation
 from sesamespoke.serving.directory import Directory
 from sesamespoke.serving.exchange import Line, WireNames
+from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.following import Follower
 from sesamespoke.serving.intake import ReadHead
 from sesamespoke.serving.peer_loads import PeerLoads
@@ -95,9 +96,14 @@
             self._clock,
             self.count_routers,
         )
-        self.usage = Usage(self._clock)
-        self.loads = PeerLoads(self.peers, self.chooser.loads, self.usage)
+        self.shares = FairShares(self._clock)
         self._rooms: dict[str, WaitingRoom[Reservation]] = {}
+        self.loads = PeerLoads(
+            self.peers,
+            self.chooser.loads,
+            self.shares,
+            self._waiting_accounts,
+        )
         self._budgets: dict[str, RetryShare] = {}
         self._pool = ConnectionPool(POOL)
         quarantine = Quarantine(self.peers, self.metrics, self.timeline)
@@ -171,11 +177,18 @@
     def _room(self, service: str) -> WaitingRoom[Reservation]:
         room = self._rooms.get(service)
         if room is None:
-            room = WaitingRoom(self.usage, self._clock, self.chooser.release)
+            room = WaitingRoom(self.shares, self._clock, self.chooser.release)
             room.on_grant = self.loads.note_grant
             self._rooms[service] = room
         return room
 
+    def _waiting_accounts(self) -> tuple[str, ...]:
+        return tuple(
+            account
+            for room in self._rooms.values()
+            for account in room.accounts
+        )
+
     def _budget(self, service: str) -> RetryShare:
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -128,9 +128,9 @@
                 return self._conclude(self._refusal_after(attempt))
             progress.avoided.add(grant.endpoint.name)
 
-    def _reserve(self, job: Job) -> Reservation | None:
+    def _reserve(self, job: Job, fill: float) -> Reservation | None:
         avoided = frozenset(self._progress.avoided)
-        return self._parts.chooser.reserve(job, avoided)
+        return self._parts.chooser.reserve(job, fill, avoided)
 
     async def _use(self, grant: Reservation) -> tuple[Attempt, Step]:
         """Send the request to the endpoint of a grant."""
