Test the decisions and the whole path of routed services; read past foreign answers

Cause: decisions and adapter had no tests of their own. The first run of the new ones found that the bytes of a caller's own answer were lost when they came in one segment behind an answer to another request; the call then timed out.

Ruled out: that the engine had not answered (the stand-in sends both at once).

--- a/src/sesamespoke/endpoint_connections.py
+++ b/src/sesamespoke/endpoint_connections.py
@@ -118,6 +118,10 @@
             self._transport.resume_reading()
         return content
 
+    def unread(self, content: bytes) -> None:
+        """Put bytes back that belong to what is read next."""
+        self._buf = content + self._buf
+
     async def pump(self, sink: Sink, silence: float) -> bool:
         """Call a sink with all that comes, until it returns False.
 
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -177,10 +177,9 @@
                 return head
             if owner is None and not conn.reused:
                 return head
-            await self._read_body(
-                conn,
-                BodyReader(head, self._job.method, ends_by_close=True),
-            )
+            foreign = BodyReader(head, self._job.method, ends_by_close=True)
+            await self._read_body(conn, foreign)
+            conn.unread(foreign.rest)
         raise Failure(BAD_ANSWER, 'the answers are to other requests')
 
     async def _collect(
--- /dev/null
+++ b/tests/support_platform.py
@@ -0,0 +1,376 @@
+"""Stand-ins for the users' store and engines, by their published pages."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.testing import bind_unused_port
+
+from sesamespoke.settings import Address
+
+Answer = tuple[int, dict[str, Any]]
+
+
+@dataclass
+class Item:
+    value: str
+    revision: int
+    created: int
+    lease: int = 0
+
+
+@dataclass
+class StoreStandIn:
+    """The key-value service, without its rates.
+
+    ``refuse_with`` answers every call with a status; ``silent`` answers
+    none; ``drop_history`` answers watches with 410.
+    """
+
+    items: dict[str, Item] = field(default_factory=dict)
+    log: list[dict[str, Any]] = field(default_factory=list)
+    revision: int = 1
+    leases: dict[int, set[str]] = field(default_factory=dict)
+    refuse_with: int | None = None
+    silent: bool = False
+    drop_history: bool = False
+    page: int = 500
+    calls: list[str] = field(default_factory=list)
+
+    def start(self) -> Address:
+        sock, port = bind_unused_port()
+        self._changed = asyncio.Event()
+        self._server = HTTPServer(self._begin)
+        self._server.add_socket(sock)
+        return Address('127.0.0.1', port)
+
+    def stop(self) -> None:
+        self._server.stop()
+
+    def put(self, key: str, content: bytes | dict[str, Any]) -> None:
+        raw = content if isinstance(content, bytes) else json.dumps(content)
+        encoded = raw if isinstance(raw, bytes) else raw.encode()
+        self.write(key, base64.b64encode(encoded).decode(), 0)
+
+    def write(self, key: str, value: str, lease: int) -> None:
+        self.revision += 1
+        before = self.items.get(key)
+        created = before.created if before else self.revision
+        self.items[key] = Item(value, self.revision, created, lease)
+        self._note(self.tell(key))
+
+    def remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            event = {'key': key, 'revision': self.revision, 'removed': True}
+            self._note(event)
+
+    def tell(self, key: str) -> dict[str, Any]:
+        item = self.items[key]
+        return {
+            'key': key,
+            'value': item.value,
+            'revision': item.revision,
+            'created': item.created,
+            'lease': item.lease,
+        }
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self.log.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _begin(self, request: HTTPServerRequest) -> None:
+        asyncio.create_task(self._serve(request))
+
+    async def _serve(self, request: HTTPServerRequest) -> None:
+        parts = urlsplit(request.uri or '')
+        self.calls.append(f'{request.method} {parts.path}')
+        if self.silent:
+            return
+        if self.refuse_with is not None:
+            send(request, self.refuse_with, {})
+            return
+        query = {key: rows[0] for key, rows in parse_qs(parts.query).items()}
+        body = json.loads(request.body) if request.body else {}
+        name = parts.path.removeprefix('/v1/').partition('/')[0]
+        handle: Callable[..., Awaitable[Answer]] = getattr(
+            self, f'do_{name.replace("-", "_")}'
+        )
+        last = parts.path.rpartition('/')[2]
+        send(request, *await handle(query, body, last))
+
+    async def do_kv_key(self, query: Any, body: Any, last: str) -> Answer:
+        key = query['key']
+        if key not in self.items:
+            return 404, {'as_of': self.revision}
+        return 200, {**self.tell(key), 'as_of': self.revision}
+
+    async def do_kv_range(self, query: Any, body: Any, last: str) -> Answer:
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query['prefix'])
+            and key > query.get('after_revision', '')
+        )
+        page = keys[: self.page]
+        return 200, {
+            'items': [self.tell(key) for key in page],
+            'has_more': len(keys) > len(page),
+            'as_of': self.revision,
+        }
+
+    async def do_kv_watch(self, query: Any, body: Any, last: str) -> Answer:
+        if self.drop_history:
+            return 410, {}
+        after, prefix = int(query['after_revision']), query['prefix']
+        changed = self._changed
+        events = self._events(prefix, after)
+        if not events:
+            wait = int(query['wait_ms']) / 1000
+            try:
+                async with asyncio.timeout(wait):
+                    while not events:
+                        await changed.wait()
+                        changed = self._changed
+                        events = self._events(prefix, after)
+            except TimeoutError:
+                events = []
+        return 200, {'events': events, 'as_of': self.revision}
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self.log
+            if event['revision'] > after and event['key'].startswith(prefix)
+        ]
+
+    async def do_kv_txn(self, query: Any, body: Any, last: str) -> Answer:
+        for row in body['expected_revision']:
+            item = self.items.get(row['key'])
+            if (item.revision if item else 0) != row['revision']:
+                found = [
+                    self.tell(each['key'])
+                    for each in body['expected_revision']
+                    if each['key'] in self.items
+                ]
+                return 412, {'items': found}
+        for row in body['puts']:
+            lease = row.get('lease', 0)
+            if lease and lease not in self.leases:
+                return 404, {}
+            self.write(row['key'], row['value'], lease)
+            self.leases.get(lease, set()).add(row['key'])
+        for key in body['remove']:
+            self.remove(key)
+        return 200, {'revision': self.revision}
+
+    async def do_kv_lease(self, query: Any, body: Any, last: str) -> Answer:
+        number = 7000 + len(self.leases)
+        self.leases[number] = set()
+        return 200, {'lease': number, 'ttl_ms': body['ttl_ms']}
+
+    async def do_kv_keep(self, query: Any, body: Any, last: str) -> Answer:
+        if int(last) not in self.leases:
+            return 404, {}
+        return 200, {'ttl_ms': 10_000}
+
+    async def do_kv_lease_end(self, query: Any, body: Any, last: str) -> Answer:
+        for key in self.leases.pop(int(last), set()):
+            self.remove(key)
+        return 200, {}
+
+
+def send(
+    request: HTTPServerRequest, status: int, content: dict[str, Any]
+) -> None:
+    body = json.dumps(content).encode()
+    headers = HTTPHeaders({'Content-Length': str(len(body))})
+    conn = request.connection
+    assert conn is not None
+    conn.write_headers(ResponseStartLine('HTTP/1.1', status, ''), headers, body)
+    conn.finish()
+
+
+Writer = asyncio.StreamWriter
+
+
+@dataclass(frozen=True)
+class Asked:
+    """A request as an engine got it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        return self.headers['request-attempt-id']
+
+
+Behave = Callable[[Asked, Writer], Awaitable[None]]
+
+
+@dataclass
+class EngineStandIn:
+    """An engine whose answers a test writes to the socket itself."""
+
+    behave: Behave
+    asked: list[Asked] = field(default_factory=list)
+
+    async def start(self) -> str:
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f'127.0.0.1:{port}'
+
+    def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: Writer
+    ) -> None:
+        while True:
+            try:
+                head = (await reader.readuntil(b'\r\n\r\n')).decode()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+                return
+            line, *rows = head.strip().split('\r\n')
+            headers = {
+                name.lower(): text.strip()
+                for name, _, text in (row.partition(':') for row in rows)
+            }
+            body = await reader.readexactly(
+                int(headers.get('content-length', 0))
+            )
+            asked = Asked(line, headers, body)
+            self.asked.append(asked)
+            try:
+                await self.behave(asked, writer)
+                await writer.drain()
+            except ConnectionError:
+                return
+            if writer.is_closing():
+                return
+
+
+def head_bytes(asked: Asked, status: int = 200, *rows: str) -> bytes:
+    lines = [
+        f'HTTP/1.1 {status} X',
+        f'Request-Attempt-Id: {asked.request_id}',
+        'Response-Seal: seal',
+        *rows,
+    ]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n'
+
+
+def whole_answer(
+    asked: Asked, body: bytes = b'fine', status: int = 200
+) -> bytes:
+    return head_bytes(asked, status, f'Content-Length: {len(body)}') + body
+
+
+def event(number: int) -> bytes:
+    return b'id: %d\ndata: piece %d\n\n' % (number, number)
+
+
+def chunk(content: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+CHUNKED = 'Transfer-Encoding: chunked'
+LAST_CHUNK = b'0\r\n\r\n'
+
+
+async def answer_well(asked: Asked, writer: Writer) -> None:
+    writer.write(whole_answer(asked))
+
+
+async def stream_well(asked: Asked, writer: Writer) -> None:
+    """Send three events, after the one at which a stream is resumed."""
+    after = int(asked.headers.get('last-event-id', 0))
+    writer.write(head_bytes(asked, 200, CHUNKED))
+    for number in range(after + 1, 4):
+        writer.write(chunk(event(number)))
+    writer.write(LAST_CHUNK)
+
+
+CONFIG: dict[str, Any] = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'stream',
+            'host': 'a.example',
+            'prefix': '/s/',
+            'kind': 'streaming',
+            'timeout_ms': 3000,
+            'target_latency_ms': 500,
+            'priority': 1,
+            'service': 'llm',
+            'max_attempts': 2,
+            'public': False,
+            'sticky_sessions': True,
+            'resume_streams': True,
+            'target_gap_ms': 600,
+        },
+        {
+            'name': 'look',
+            'host': 'a.example',
+            'prefix': '/l/',
+            'kind': 'idempotent',
+            'timeout_ms': 1500,
+            'target_latency_ms': 200,
+            'service': 'desk',
+            'max_attempts': 2,
+            'public': True,
+        },
+        {
+            'name': 'book',
+            'host': 'a.example',
+            'prefix': '/l/book/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 1500,
+            'target_latency_ms': 200,
+            'service': 'desk',
+            'max_attempts': 1,
+            'public': True,
+        },
+    ],
+    'services': [
+        {
+            'name': 'llm',
+            'health_check_path': '/health',
+            'max_connections': 370,
+            'cold_per_s': 8.9,
+            'engine': {'slots': 64, 'kv_cache_tokens': 400_000},
+        },
+        {'name': 'desk', 'max_connections': 110, 'cold_per_s': 0.0},
+    ],
+    'limits': {'max_body_bytes': 100_000, 'idle_timeout_ms': 15_000},
+    'tenants': [
+        {'name': 'acme', 'api_keys': ['key-1', 'key-2'], 'priority': 1}
+    ],
+}
+
+
+def server_entry(
+    service: str, address: str, /, **changes: Any
+) -> dict[str, Any]:
+    return {
+        'service': service,
+        'address': address,
+        'zone': 'north',
+        'version': 'v1',
+        'slots': 6,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'sequence': 4,
+        'born': 17,
+        **changes,
+    }
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,144 @@
+"""The store's client against a stand-in of the platform's service."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from support_platform import CONFIG, StoreStandIn
+
+from sesamespoke.platform.feeds import PlatformFeeds
+from sesamespoke.platform.kv_store import KvStore
+from sesamespoke.serving.catalog import Catalog
+from sesamespoke.serving.ports import BadEntry, Evacuation, Order
+from sesamespoke.store import (
+    Absent,
+    Committed,
+    Conflict,
+    Delete,
+    Entry,
+    Expect,
+    Lease,
+    Put,
+    StoreUnavailable,
+)
+
+Steps = Callable[[StoreStandIn, KvStore], Awaitable[None]]
+
+
+def play(steps: Steps) -> None:
+    async def whole() -> None:
+        stand_in = StoreStandIn()
+        store = KvStore(stand_in.start())
+        await steps(stand_in, store)
+        store.close()
+        stand_in.stop()
+
+    asyncio.run(whole())
+
+
+def test_keys_are_written_under_conditions_and_read_back() -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        written = await store.transact((Expect('k', 0),), (Put('k', b'\0v'),))
+        assert isinstance(written, Committed)
+        found = await store.get('k')
+        assert found == Entry('k', b'\0v', written.revision)
+        again = await store.transact((Expect('k', 0),), (Put('k', b'w'),))
+        assert again == Conflict((Entry('k', b'\0v', written.revision),))
+        await store.transact((), (Delete('k'),))
+        assert isinstance(await store.get('k'), Absent)
+
+    play(steps)
+
+
+def test_a_scan_reads_every_page() -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        stand_in.page = 3
+        for number in range(8):
+            stand_in.put(f'p/{number}', b'x')
+        found = await store.scan('p/')
+        assert not isinstance(found, StoreUnavailable)
+        assert [entry.key for entry in found] == [
+            f'p/{number}' for number in range(8)
+        ]
+
+    play(steps)
+
+
+def test_a_lease_holds_keys_and_tells_when_it_has_ended() -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        lease = await store.grant_lease(5)
+        assert isinstance(lease, Lease)
+        assert lease.ttl == 5
+        await store.transact((), (Put('k', b'v', lease.number),))
+        assert isinstance(await store.renew_lease(lease), Lease)
+        await store.end_lease(lease)
+        assert isinstance(await store.renew_lease(lease), Absent)
+        assert isinstance(await store.get('k'), Absent)
+
+    play(steps)
+
+
+@pytest.mark.parametrize('status', [429, 503])
+def test_a_refused_write_was_not_done(status: int) -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        stand_in.refuse_with = status
+        told = await store.transact((), (Put('k', b'v'),))
+        assert isinstance(told, StoreUnavailable)
+        assert not told.may_have_applied
+
+    play(steps)
+
+
+def test_a_write_without_an_answer_may_have_been_done() -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        stand_in.silent = True
+        told = await store.transact((), (Put('k', b'v'),))
+        assert isinstance(told, StoreUnavailable)
+        assert told.may_have_applied
+
+    play(steps)
+
+
+async def take(orders: asyncio.Queue[Order]) -> Order:
+    async with asyncio.timeout(10):
+        return await orders.get()
+
+
+async def follow(store: KvStore, orders: asyncio.Queue[Order]) -> None:
+    async for order in PlatformFeeds(store).watch_orders():
+        orders.put_nowait(order)
+
+
+def test_orders_are_followed_through_an_outage_and_a_lost_history() -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        orders: asyncio.Queue[Order] = asyncio.Queue()
+        stand_in.put('op/config', CONFIG)
+        task = asyncio.create_task(follow(store, orders))
+        first = await take(orders)
+        assert isinstance(first, Catalog)
+        assert first.version == 7
+        stand_in.put('op/evacuate/north', b'{}')
+        assert await take(orders) == Evacuation('north', in_service=False)
+        stand_in.refuse_with = 503
+        stand_in.drop_history = True
+        while not isinstance(await take(orders), StoreUnavailable):
+            pass
+        stand_in.remove('op/evacuate/north')
+        stand_in.refuse_with = None
+        told = await take(orders)
+        while told != Evacuation('north', in_service=True):
+            told = await take(orders)
+        task.cancel()
+
+    play(steps)
+
+
+def test_a_configuration_that_can_not_be_read_changes_nothing() -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        orders: asyncio.Queue[Order] = asyncio.Queue()
+        stand_in.put('op/config', {'version': 8})
+        task = asyncio.create_task(follow(store, orders))
+        assert isinstance(await take(orders), BadEntry)
+        task.cancel()
+
+    play(steps)
--- /dev/null
+++ b/tests/test_routed_router.py
@@ -0,0 +1,500 @@
+"""One router from callers to engines, over loopback sockets."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+
+import pytest
+from support_platform import (
+    CHUNKED,
+    CONFIG,
+    Asked,
+    Behave,
+    EngineStandIn,
+    StoreStandIn,
+    Writer,
+    answer_well,
+    chunk,
+    event,
+    head_bytes,
+    server_entry,
+    stream_well,
+    whole_answer,
+)
+
+from sesamespoke.framing import BodyReader, Head, split_head
+from sesamespoke.platform.feeds import PlatformFeeds
+from sesamespoke.platform.headers import NAMES, read_head
+from sesamespoke.platform.kv_store import KvStore
+from sesamespoke.serving.router import RoutedRouter
+from sesamespoke.serving.settings import (
+    FeedSettings,
+    ServingSettings,
+    StopSettings,
+)
+from sesamespoke.serving.shares import RetryBounds
+from sesamespoke.settings import Address
+
+ANY_PORT = Address('127.0.0.1', 0)
+CFG = ServingSettings(
+    'frontend-north-1',
+    'north',
+    'land',
+    ANY_PORT,
+    ANY_PORT,
+    ANY_PORT,
+    ANY_PORT,
+    RetryBounds(0.2, 10, 58),
+    StopSettings(notice=0.3, longest=2),
+    FeedSettings(endpoints=0.05, hosts=0.05, lease=5),
+)
+PATIENCE_SECONDS = 10
+
+
+@dataclass
+class Fleet:
+    """A router, a store and some engines."""
+
+    store: StoreStandIn
+    router: RoutedRouter
+    running: asyncio.Task[None]
+    engines: dict[str, EngineStandIn] = field(default_factory=dict)
+
+    async def add_engine(
+        self, name: str, service: str, behave: Behave
+    ) -> EngineStandIn:
+        engine = EngineStandIn(behave)
+        address = await engine.start()
+        self.engines[name] = engine
+        self.store.put(f'servers/{name}', server_entry(service, address))
+        directory = self.router.directory
+        await until(lambda: name in directory.endpoints)
+        return engine
+
+    async def connect(self) -> 'Caller':
+        port = self.router.server.port
+        return Caller(*await asyncio.open_connection('127.0.0.1', port))
+
+
+@dataclass
+class Answered:
+    status: int
+    head: Head
+    body: bytes
+    whole: bool
+
+
+@dataclass
+class Caller:
+    """A caller's connection."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    def send(self, path: str, *rows: str, method: str = 'POST') -> None:
+        lines = [
+            f'{method} {path} HTTP/1.1',
+            'Host: a.example',
+            'Request-Attempt-Id: r1',
+            'Authorization: Bearer key-1',
+            'Content-Length: 4',
+            *rows,
+        ]
+        self.writer.write('\r\n'.join(lines).encode() + b'\r\n\r\nbody')
+
+    async def receive(self, method: str = 'POST') -> Answered:
+        buf = b''
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while (parts := split_head(buf)) is None:
+                content = await self.reader.read(65_536)
+                if not content:
+                    raise ConnectionError('no answer')
+                buf += content
+            head, rest = parts
+            body = BodyReader(head, method)
+            payload = body.feed(rest)
+            while not body.finished:
+                content = await self.reader.read(65_536)
+                if not content:
+                    break
+                payload += body.feed(content)
+        return Answered(head.status, head, payload, body.finished)
+
+    async def ask(self, path: str, *rows: str) -> Answered:
+        self.send(path, *rows)
+        return await self.receive()
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def opened() -> AsyncIterator[Fleet]:
+    store = StoreStandIn()
+    client = KvStore(store.start())
+    store.put('op/config', CONFIG)
+    router = RoutedRouter(CFG, PlatformFeeds(client), NAMES, read_head)
+    fleet = Fleet(store, router, asyncio.create_task(router.run()))
+    await until(lambda: router.is_ready)
+    yield fleet
+    router.stop.ask()
+    async with asyncio.timeout(PATIENCE_SECONDS):
+        await fleet.running
+    client.close()
+    store.stop()
+    for engine in fleet.engines.values():
+        engine.stop()
+
+
+def play(steps: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        async with opened() as fleet:
+            await steps(fleet)
+
+    asyncio.run(whole())
+
+
+def test_an_engine_s_answer_reaches_its_caller_whole_with_its_seal() -> None:
+    async def steps(fleet: Fleet) -> None:
+        engine = await fleet.add_engine('i-1', 'desk', answer_well)
+        caller = await fleet.connect()
+        answered = await caller.ask('/l/book/1?x=1', 'Deadline-Ms: 900')
+        assert answered.status == 200
+        assert answered.body == b'fine'
+        assert answered.head.headers['Response-Seal'] == 'seal'
+        (asked,) = engine.asked
+        assert asked.line == 'POST /l/book/1?x=1 HTTP/1.1'
+        assert asked.body == b'body'
+        assert asked.headers['expect-instance'] == 'i-1'
+        assert 0 < int(asked.headers['deadline-ms']) <= 900
+        assert 'authorization' not in asked.headers
+        assert 'tenant' not in asked.headers
+
+    play(steps)
+
+
+def test_a_stream_passes_with_its_account() -> None:
+    async def steps(fleet: Fleet) -> None:
+        engine = await fleet.add_engine('i-1', 'llm', stream_well)
+        answered = await (await fleet.connect()).ask('/s/1')
+        assert answered.body == event(1) + event(2) + event(3)
+        assert answered.whole
+        assert engine.asked[0].headers['tenant'] == 'acme'
+
+    play(steps)
+
+
+def test_a_cut_stream_goes_on_at_another_engine() -> None:
+    cut: list[str] = []
+
+    async def cut_once(asked: Asked, writer: Writer) -> None:
+        if cut:
+            await stream_well(asked, writer)
+            return
+        cut.append(asked.request_id)
+        writer.write(head_bytes(asked, 200, CHUNKED))
+        writer.write(chunk(event(1) + b'id: 2\nda'))
+        await writer.drain()
+        writer.close()
+
+    async def steps(fleet: Fleet) -> None:
+        engines = [
+            await fleet.add_engine(name, 'llm', cut_once)
+            for name in ('i-1', 'i-2')
+        ]
+        answered = await (await fleet.connect()).ask('/s/1')
+        assert answered.body == event(1) + event(2) + event(3)
+        assert answered.whole
+        resumed = [
+            asked.headers.get('last-event-id')
+            for engine in engines
+            for asked in engine.asked
+        ]
+        assert sorted(resumed, key=str) == ['1', None]
+
+    play(steps)
+
+
+def test_the_pause_before_the_first_event_does_not_end_the_stream() -> None:
+    """An event that came just in time was followed by an early time-out."""
+
+    async def slow_start(asked: Asked, writer: Writer) -> None:
+        writer.write(head_bytes(asked, 200, CHUNKED))
+        await asyncio.sleep(0.9)
+        writer.write(chunk(event(1)))
+        await asyncio.sleep(0.5)
+        writer.write(chunk(event(2)) + b'0\r\n\r\n')
+
+    async def steps(fleet: Fleet) -> None:
+        engine = await fleet.add_engine('i-1', 'llm', slow_start)
+        answered = await (await fleet.connect()).ask('/s/1')
+        assert answered.whole
+        assert answered.body == event(1) + event(2)
+        assert len(engine.asked) == 1
+
+    play(steps)
+
+
+def test_an_answer_to_another_request_is_read_past() -> None:
+    async def late_and_own(asked: Asked, writer: Writer) -> None:
+        other = Asked('', {'request-attempt-id': 'other'}, b'')
+        writer.write(whole_answer(other, b'wrong') + whole_answer(asked))
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', late_and_own)
+        answered = await (await fleet.connect()).ask('/l/1')
+        assert answered.body == b'fine'
+
+    play(steps)
+
+
+def test_a_body_that_only_the_close_ends_is_whole_unless_reset() -> None:
+    async def unframed(asked: Asked, writer: Writer) -> None:
+        writer.write(head_bytes(asked) + b'all of it')
+        await writer.drain()
+        writer.close()
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', unframed)
+        answered = await (await fleet.connect()).ask('/l/book/1')
+        assert answered.body == b'all of it'
+        assert answered.head.headers['Content-Length'] == '9'
+
+    play(steps)
+
+
+async def close_at_once(asked: Asked, writer: Writer) -> None:
+    writer.transport.abort()
+
+
+async def no_seal(asked: Asked, writer: Writer) -> None:
+    writer.write(whole_answer(asked).replace(b'Response-Seal', b'Other'))
+
+
+async def rubbish(asked: Asked, writer: Writer) -> None:
+    writer.write(b'\0\1\2 not an answer\r\n\r\n')
+
+
+async def half_a_body(asked: Asked, writer: Writer) -> None:
+    writer.write(head_bytes(asked, 200, 'Content-Length: 10') + b'half')
+    await writer.drain()
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    'behave', [close_at_once, no_seal, rubbish, half_a_body]
+)
+def test_a_broken_call_that_may_have_run_is_not_said_to_be_unrun(
+    behave: Behave,
+) -> None:
+    async def steps(fleet: Fleet) -> None:
+        engines = [
+            await fleet.add_engine(name, 'desk', behave)
+            for name in ('i-1', 'i-2')
+        ]
+        answered = await (await fleet.connect()).ask('/l/book/1')
+        assert answered.status in {502, 504}
+        assert sum(len(engine.asked) for engine in engines) == 1
+        verdict = answered.head.headers['X-Sesamespoke-Verdict']
+        assert verdict == 'may have run'
+
+    play(steps)
+
+
+@pytest.mark.parametrize(
+    'behave', [close_at_once, no_seal, rubbish, half_a_body]
+)
+def test_a_broken_call_that_may_be_repeated_is_answered_by_another(
+    behave: Behave,
+) -> None:
+    broken: list[str] = []
+
+    async def break_once(asked: Asked, writer: Writer) -> None:
+        if broken:
+            await answer_well(asked, writer)
+            return
+        broken.append(asked.request_id)
+        await behave(asked, writer)
+
+    async def steps(fleet: Fleet) -> None:
+        for name in ('i-1', 'i-2'):
+            await fleet.add_engine(name, 'desk', break_once)
+        answered = await (await fleet.connect()).ask('/l/1')
+        assert answered.status == 200
+
+    play(steps)
+
+
+async def shed(asked: Asked, writer: Writer) -> None:
+    body = b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    writer.write(b'HTTP/1.1 503 X\r\n' + body)
+
+
+async def misdirected(asked: Asked, writer: Writer) -> None:
+    body = b'Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n'
+    writer.write(b'HTTP/1.1 421 X\r\n' + body)
+
+
+@pytest.mark.parametrize('refuse', [shed, misdirected])
+def test_a_call_that_an_engine_refused_is_run_by_another(
+    refuse: Behave,
+) -> None:
+    refused: list[str] = []
+
+    async def refuse_once(asked: Asked, writer: Writer) -> None:
+        if refused:
+            await answer_well(asked, writer)
+            return
+        refused.append(asked.request_id)
+        await refuse(asked, writer)
+
+    async def steps(fleet: Fleet) -> None:
+        for name in ('i-1', 'i-2'):
+            await fleet.add_engine(name, 'desk', refuse_once)
+        answered = await (await fleet.connect()).ask('/l/book/1')
+        assert answered.status == 200
+
+    play(steps)
+
+
+def test_a_call_that_every_engine_refused_may_be_asked_again() -> None:
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', shed)
+        answered = await (await fleet.connect()).ask('/l/book/1')
+        assert answered.status == 503
+        assert float(answered.head.headers['Retry-After']) > 0
+        verdict = answered.head.headers['X-Sesamespoke-Verdict']
+        assert verdict == 'not run'
+
+    play(steps)
+
+
+def test_an_engine_s_failure_is_passed_on_when_nothing_else_came() -> None:
+    async def fail(asked: Asked, writer: Writer) -> None:
+        writer.write(whole_answer(asked, b'sorry', 500))
+
+    async def steps(fleet: Fleet) -> None:
+        engines = [
+            await fleet.add_engine(name, 'desk', fail)
+            for name in ('i-1', 'i-2', 'i-3')
+        ]
+        answered = await (await fleet.connect()).ask('/l/1')
+        assert answered.status == 500
+        assert answered.body == b'sorry'
+        assert sum(len(engine.asked) for engine in engines) == 2
+
+    play(steps)
+
+
+def test_an_engine_that_is_silent_leaves_time_for_another() -> None:
+    async def silent_once(asked: Asked, writer: Writer) -> None:
+        if silenced:
+            await answer_well(asked, writer)
+            return
+        silenced.append(asked.request_id)
+        await asyncio.sleep(5)
+
+    silenced: list[str] = []
+
+    async def steps(fleet: Fleet) -> None:
+        for name in ('i-1', 'i-2'):
+            await fleet.add_engine(name, 'desk', silent_once)
+        answered = await (await fleet.connect()).ask('/l/1')
+        assert answered.status == 200
+
+    play(steps)
+
+
+def test_work_ends_when_its_caller_leaves() -> None:
+    gone = asyncio.Event()
+
+    async def watch_close(asked: Asked, writer: Writer) -> None:
+        writer.write(head_bytes(asked, 200, CHUNKED) + chunk(event(1)))
+        await writer.drain()
+        while not writer.is_closing():
+            await asyncio.sleep(0.01)
+            with contextlib.suppress(ConnectionError):
+                writer.write(chunk(event(2)))
+                await writer.drain()
+        gone.set()
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'llm', watch_close)
+        caller = await fleet.connect()
+        caller.send('/s/1')
+        await caller.reader.read(10)
+        caller.writer.close()
+        async with asyncio.timeout(2):
+            await gone.wait()
+        await until(lambda: not fleet.router.server.active)
+
+    play(steps)
+
+
+def test_a_draining_engine_gets_nothing_new() -> None:
+    async def steps(fleet: Fleet) -> None:
+        old = await fleet.add_engine('i-1', 'desk', answer_well)
+        await fleet.add_engine('i-2', 'desk', answer_well)
+        entry = json.loads(json.dumps(server_entry('desk', '127.0.0.1:1')))
+        fleet.store.put('servers/i-1', {**entry, 'state': 'draining'})
+        directory = fleet.router.directory
+        await until(lambda: len(directory.usable('desk')) == 1)
+        caller = await fleet.connect()
+        for _ in range(10):
+            assert (await caller.ask('/l/1')).status == 200
+        assert not old.asked
+
+    play(steps)
+
+
+def test_a_planned_stop_cuts_nothing_and_refuses_what_comes_late() -> None:
+    async def slow(asked: Asked, writer: Writer) -> None:
+        writer.write(head_bytes(asked, 200, CHUNKED))
+        for number in range(1, 8):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        writer.write(b'0\r\n\r\n')
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'llm', slow)
+        await fleet.add_engine('i-2', 'desk', answer_well)
+        running, idle = await fleet.connect(), await fleet.connect()
+        running.send('/s/1')
+        await until(lambda: fleet.router.server.active == 1)
+        fleet.router.stop.ask()
+        assert not fleet.router.is_ready
+        early = await idle.ask('/l/1')
+        assert early.status == 200
+        assert early.head.headers['Connection'] == 'close'
+        await until(lambda: fleet.router.stop.closed)
+        late = await idle.ask('/l/1')
+        assert late.status == 503
+        answered = await running.receive()
+        assert answered.whole
+        assert answered.body.endswith(event(7))
+
+    play(steps)
+
+
+def test_a_revoked_key_is_refused_once_the_version_is_in_force() -> None:
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'llm', stream_well)
+        caller = await fleet.connect()
+        assert (await caller.ask('/s/1')).status == 200
+        fleet.store.put('op/config', {**CONFIG, 'version': 9, 'tenants': []})
+        orders = fleet.router.follower.orders
+        await until(
+            lambda: orders.catalog is not None and orders.catalog.version == 9
+        )
+        assert (await caller.ask('/s/1')).status == 401
+        fleet.store.put('op/config', CONFIG)
+        await asyncio.sleep(0.2)
+        assert (await caller.ask('/s/1')).status == 401
+
+    play(steps)
--- /dev/null
+++ b/tests/test_serving_placement.py
@@ -0,0 +1,162 @@
+"""Placing: what engines read again, and how long first tokens take."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from support_serving_jobs import ENGINE, PLAIN, endpoints_of, job_of
+
+from sesamespoke.serving.job import Job
+from sesamespoke.serving.load import Load
+from sesamespoke.serving.placement import (
+    BATCH_FRACTION,
+    MAX_READING_MS,
+    Candidate,
+    homes_of,
+    place_call,
+    placer_for,
+)
+
+ENGINES = endpoints_of(ENGINE, 9)
+BEGINNINGS = 171
+CACHED_BEGINNINGS = 30
+"""What an engine's memory keeps beside the prompts that run."""
+READ_TOKENS_PER_MS = 48.0
+RATE = 24.0
+SECONDS = 60
+
+
+@dataclass
+class ModelEngine:
+    """Reads prompts in order of arrival; keeps the latest beginnings."""
+
+    free_at: float = 0
+    kept: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    read_again: int = 0
+    seen: set[str] = field(default_factory=set)
+
+    def take(self, job: Job, now: float) -> float:
+        """Return the seconds to the first token."""
+        beginning = job.prompt.affinity
+        tokens = job.prompt.input_tokens
+        shared = job.prompt.shared[0].tokens
+        if beginning in self.kept:
+            tokens -= shared
+        else:
+            self.read_again += shared
+        self.kept[beginning] = None
+        self.kept.move_to_end(beginning)
+        while len(self.kept) > CACHED_BEGINNINGS:
+            self.kept.popitem(last=False)
+        begins = max(now, self.free_at)
+        self.free_at = begins + tokens / READ_TOKENS_PER_MS / 1000
+        return self.free_at - now
+
+
+@dataclass(frozen=True)
+class Played:
+    read_again: int
+    late: float
+
+
+def play(choose: Callable[[Job, dict[str, ModelEngine], float], str]) -> Played:
+    """Play the long prompts of a busy day against nine model engines."""
+    dice = random.Random(7)
+    engines = {engine.name: ModelEngine() for engine in ENGINES}
+    now, late, count = 0.0, 0, 0
+    while now < SECONDS:
+        now += dice.expovariate(RATE)
+        job = job_of('a', f'b{dice.randrange(BEGINNINGS)}', arrived_at=now)
+        delay = engines[choose(job, engines, now)].take(job, now)
+        late += delay > job.route.objective
+        count += 1
+    again = sum(engine.read_again for engine in engines.values())
+    return Played(again, late / count)
+
+
+def shortest_queue(
+    job: Job, engines: dict[str, ModelEngine], now: float
+) -> str:
+    return min(engines, key=lambda name: engines[name].free_at)
+
+
+def by_placement(job: Job, engines: dict[str, ModelEngine], now: float) -> str:
+    place = placer_for(ENGINE, ENGINES)
+    candidates = [
+        Candidate(engine, Load(1, max(0, model.free_at - now) * 1000))
+        for engine in ENGINES
+        for model in (engines[engine.name],)
+    ]
+    placed = place(job, 1, candidates)
+    if placed is None:
+        return shortest_queue(job, engines, now)
+    return placed.endpoint.name
+
+
+def test_beginnings_are_read_again_half_as_often_as_by_shortest_queue() -> None:
+    baseline = play(shortest_queue)
+    placed = play(by_placement)
+    assert placed.read_again < baseline.read_again / 2
+    assert placed.late <= 0.05
+
+
+def test_a_busy_home_lets_an_idle_engine_help() -> None:
+    job = job_of('a')
+    (home,) = homes_of('b', ENGINES)
+    full = Load(64, 0)
+    candidates = [
+        Candidate(engine, full if engine.name == home else Load())
+        for engine in ENGINES
+    ]
+    placed = placer_for(ENGINE, ENGINES)(job, 1, candidates)
+    assert placed is not None
+    assert placed.endpoint.name != home
+
+
+def test_a_busy_engine_does_not_read_what_its_neighbour_has_read() -> None:
+    job = job_of('a')
+    (home,) = homes_of('b', ENGINES)
+    busy = Load(int(64 * BATCH_FRACTION) - 1, MAX_READING_MS / 2)
+    full = Load(64, 0)
+    candidates = [
+        Candidate(engine, full if engine.name == home else busy)
+        for engine in ENGINES
+    ]
+    assert placer_for(ENGINE, ENGINES)(job, 1, candidates) is None
+
+
+def test_an_account_that_is_ahead_finds_less_room() -> None:
+    job = job_of('a')
+    candidates = [Candidate(engine, Load(4, 0)) for engine in ENGINES]
+    place = placer_for(ENGINE, ENGINES)
+    assert place(job, 1, candidates) is not None
+    assert place(job, 0.1, candidates) is None
+
+
+def test_homes_move_only_with_their_engine() -> None:
+    names = [f'b{number}' for number in range(200)]
+    before = {name: homes_of(name, ENGINES) for name in names}
+    gone = ENGINES[3]
+    left = tuple(engine for engine in ENGINES if engine is not gone)
+    for name, homes in before.items():
+        if gone.name not in homes:
+            assert homes_of(name, left) == homes
+
+
+def test_a_slow_engine_is_passed_over() -> None:
+    desks = endpoints_of(PLAIN, 3)
+    candidates = [
+        Candidate(desks[0], Load(0), 4),
+        Candidate(desks[1], Load(2), 1),
+        Candidate(desks[2], Load(5), 1),
+    ]
+    placed = place_call(1, candidates)
+    assert placed is not None
+    assert placed.endpoint is desks[1]
+
+
+def test_a_plain_endpoint_is_not_given_more_than_it_bears() -> None:
+    desks = endpoints_of(PLAIN, 2)
+    candidates = [Candidate(desk, Load(9), 1) for desk in desks]
+    assert place_call(1, candidates) is None
--- /dev/null
+++ b/tests/test_serving_shares.py
@@ -0,0 +1,82 @@
+"""Bounds that hold over all routers, without any word between them."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from support_serving_jobs import Clock
+
+from sesamespoke.serving.shares import ColdGate, RetryBounds, RetryShare
+
+BOUNDS = RetryBounds(ratio=0.2, window=10, slack=58)
+ROUTERS = 9
+COLD_RATE = 8.9
+COLD_BOUND = COLD_RATE * 1.5 + 5
+
+STEPS = st.lists(
+    st.tuples(
+        st.floats(0, 2),
+        st.integers(0, ROUTERS - 1),
+        st.integers(0, 40),
+        st.integers(0, 40),
+    ),
+    max_size=40,
+)
+
+
+@given(STEPS)
+def test_retries_of_all_routers_stay_within_the_budget(
+    steps: list[tuple[float, int, int, int]],
+) -> None:
+    clock = Clock()
+    shares = [
+        RetryShare(BOUNDS, clock, lambda: ROUTERS) for _ in range(ROUTERS)
+    ]
+    fresh: list[float] = []
+    spent: list[float] = []
+    for pause, router, asked, failed in steps:
+        clock.now += pause
+        for _ in range(asked):
+            shares[router].earn()
+            fresh.append(clock.now)
+        for _ in range(failed):
+            if shares[router].spend():
+                spent.append(clock.now)
+        began = clock.now - BOUNDS.window
+        lately = sum(at > began for at in spent)
+        base = sum(at > began - BOUNDS.window for at in fresh)
+        assert lately <= BOUNDS.ratio * base + BOUNDS.slack
+
+
+def test_a_router_alone_has_the_whole_slack() -> None:
+    share = RetryShare(BOUNDS, Clock(), lambda: 1)
+    taken = sum(share.spend() for _ in range(100))
+    assert 0.5 * BOUNDS.slack < taken <= BOUNDS.slack
+
+
+def test_the_budget_is_whole_again_after_its_window() -> None:
+    clock = Clock()
+    share = RetryShare(BOUNDS, clock, lambda: ROUTERS)
+    first = sum(share.spend() for _ in range(100))
+    clock.now += BOUNDS.window + 1
+    assert sum(share.spend() for _ in range(100)) == first
+
+
+@given(st.lists(st.floats(0, 0.3), min_size=1, max_size=200))
+def test_a_cold_endpoint_bears_what_all_routers_send(
+    pauses: list[float],
+) -> None:
+    clock = Clock()
+    gates = [ColdGate(clock, lambda: ROUTERS) for _ in range(ROUTERS)]
+    sent: list[float] = []
+    for pause in pauses:
+        clock.now += pause
+        for gate in gates:
+            while gate.is_open('e', COLD_RATE):
+                gate.note_sent('e', COLD_RATE)
+                sent.append(clock.now)
+        assert sum(at > clock.now - 1 for at in sent) <= COLD_BOUND
+
+
+def test_a_service_without_a_cold_rate_is_not_held_back() -> None:
+    gate = ColdGate(Clock(), lambda: ROUTERS)
+    gate.note_sent('e', 0)
+    assert gate.is_open('e', 0)
