Place at home first, and look at all engines only for spare room

Cause: each try to place a request looked at every engine of its service; a router with a queue tries several requests of each account fifty times a second, which at 45 to 70 engines is most of its processor time. A home that was left alone for a failure let its beginnings wait up to 4 s.

Reports to peers are encoded once for all.

Ruled out: two homes (measured before: reads more again).

--- a/src/sesamespoke/peers.py
+++ b/src/sesamespoke/peers.py
@@ -126,6 +126,13 @@
         frame = encode(message, self.mesh.names.shorten())
         return self.mesh.write(host, frame) or self._relays.send(host, frame)
 
+    def broadcast(self, message: Message) -> None:
+        """Queue a message to every other member, encoded once."""
+        frame = encode(message, self.mesh.names.shorten())
+        for host in self.view.hosts():
+            if host != self.host and not self.mesh.write(host, frame):
+                self._relays.send(host, frame)
+
     def subscribe(
         self,
         kind: type[MessageT],
--- a/src/sesamespoke/serving/peer_loads.py
+++ b/src/sesamespoke/serving/peer_loads.py
@@ -8,24 +8,35 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable
+from typing import Protocol
 
 from sesamespoke.links import Links, View
-from sesamespoke.messages import RouterLoads
+from sesamespoke.messages import Message, RouterLoads
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.load import LoadBook, LoadRow
 
 REPORT_SECONDS = 0.1
 """Delay of a report; an engine is given a few requests in that time."""
+FEW_HOSTS = 20
+"""Above so many hosts reports come more slowly, so that what one host sends
+and takes in a second grows no further."""
 REPEAT_TURNS = 10
 """An unchanged report is sent again every so many turns."""
 
 
+class Broadcaster(Links, Protocol):
+    """Links that send one message to all members."""
+
+    def broadcast(self, message: Message) -> None:
+        """Queue a message to every other member."""
+
+
 class PeerLoads:
     """Sends this router's loads, and takes those of its peers."""
 
     def __init__(
         self,
-        links: Links,
+        links: Broadcaster,
         loads: LoadBook,
         shares: FairShares,
         waiting: Callable[[], tuple[str, ...]],
@@ -49,7 +60,8 @@
         """Send reports until cancelled."""
         turn = 0
         while True:
-            await asyncio.sleep(REPORT_SECONDS)
+            hosts = len(self._links.view.hosts())
+            await asyncio.sleep(REPORT_SECONDS * max(1, hosts / FEW_HOSTS))
             turn += 1
             self._report(forced=turn % REPEAT_TURNS == 0)
 
@@ -63,9 +75,7 @@
         self._told = rows
         message = RouterLoads(rows, tuple(self._granted.items()), waiting)
         self._granted.clear()
-        for host in self._links.view.hosts():
-            if host != self._links.host:
-                self._links.send(host, message)
+        self._links.broadcast(message)
 
     def _take(self, sender: str, message: RouterLoads) -> None:
         self._loads.take(sender, message.endpoints)
--- a/src/sesamespoke/serving/placement.py
+++ b/src/sesamespoke/serving/placement.py
@@ -4,15 +4,15 @@
 shared by many requests, at engines that read prompts in order of arrival
 and keep what they have read while memory lasts. A prompt that goes where
 its beginning was read costs the engine half as much. Each shared beginning
-has ``HOMES`` endpoints by rendezvous hashing, which every router computes
-alike; the shorter expected wait decides between them and, where both are
-crowded, for any other.
+has one home by rendezvous hashing, which every router computes alike. Memory
+is full within seconds, so that a second home would rarely keep a beginning
+till its next use.
 
 Source of the hashing: Thaler and Ravishankar, "Using name-based mappings to
 increase hit rates", IEEE/ACM Transactions on Networking, 1998.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import xxhash
@@ -22,9 +22,6 @@
 from sesamespoke.serving.job import Job, Prompt
 from sesamespoke.serving.load import Load
 
-HOMES = 1
-"""Endpoints that are expected to keep one shared beginning. Memory is full
-within seconds, so that a second one would rarely keep it till its next use."""
 SPILL_FRACTION = 0.15
 """The part of its bounds up to which an engine takes what it has not read."""
 TOKENS_READ_PER_MS = 45.0
@@ -68,20 +65,19 @@
     expected: float
 
 
-def homes_of(
+def rank_homes(
     affinity: str,
     endpoints: Iterable[ListedEndpoint],
-) -> frozenset[str]:
-    """Return the endpoints that keep a shared beginning."""
-    if not affinity:
-        return frozenset()
-    ranked = sorted(
-        (endpoint.name for endpoint in endpoints),
-        key=lambda name: xxhash.xxh3_64_intdigest(
-            f'{name} {affinity}'.encode()
-        ),
+) -> tuple[str, ...]:
+    """Return the endpoints for a shared beginning, its home first."""
+    return tuple(
+        sorted(
+            (endpoint.name for endpoint in endpoints),
+            key=lambda name: xxhash.xxh3_64_intdigest(
+                f'{name} {affinity}'.encode()
+            ),
+        )
     )
-    return frozenset(ranked[:HOMES])
 
 
 def unread_tokens(prompt: Prompt, *, at_home: bool) -> int:
@@ -96,30 +92,43 @@
     job: Job,
     fill: float,
     service: RoutedService,
-    candidates: Iterable[Candidate],
-    homes: frozenset[str],
+    home: Candidate | None,
+    others: Iterable[Candidate],
 ) -> Placed | None:
-    """Return the engine with the earliest first token, if one has room.
+    """Return the home if it has room, else the engine with least to do.
 
     An engine that has not read the shared beginning takes the request only
-    while it has little to do: reading it again costs every other caller.
+    while it has little to do: reading it again costs every other caller. A
+    request without a home may go to any.
     """
+    if home is not None:
+        if _has_room(service, home, fill):
+            return _placed(job, home, at_home=True)
+        fill *= SPILL_FRACTION
     best: Placed | None = None
-    for candidate in candidates:
-        at_home = not homes or candidate.endpoint.name in homes
-        share = fill if at_home else fill * SPILL_FRACTION
-        if not _has_room(service, candidate, share):
+    for candidate in others:
+        if not _has_room(service, candidate, fill):
             continue
-        load = candidate.load
-        unread = unread_tokens(job.prompt, at_home=at_home)
-        reading = unread / TOKENS_READ_PER_MS
-        work = load.reading + reading + load.running * MS_PER_RUNNING
-        expected = (work + BATCH_MS) * candidate.pace
-        if best is None or expected < best.expected:
-            best = Placed(candidate.endpoint, reading, expected)
+        placed = _placed(job, candidate, at_home=home is None)
+        if best is None or placed.expected < best.expected:
+            best = placed
     return best
 
 
+def is_spare(service: RoutedService, candidate: Candidate) -> bool:
+    """Return whether an engine may take what it has not read."""
+    return _has_room(service, candidate, SPILL_FRACTION)
+
+
+def _placed(job: Job, candidate: Candidate, *, at_home: bool) -> Placed:
+    load = candidate.load
+    unread = unread_tokens(job.prompt, at_home=at_home)
+    reading = unread / TOKENS_READ_PER_MS
+    work = load.reading + reading + load.running * MS_PER_RUNNING
+    expected = (work + BATCH_MS) * candidate.pace
+    return Placed(candidate.endpoint, reading, expected)
+
+
 def _has_room(
     service: RoutedService,
     candidate: Candidate,
@@ -150,25 +159,3 @@
         if best is None or expected < best.expected:
             best = Placed(candidate.endpoint, 0, expected)
     return best
-
-
-Place = Callable[[Job, float, Iterable[Candidate]], Placed | None]
-
-
-def placer_for(
-    service: RoutedService,
-    endpoints: tuple[ListedEndpoint, ...],
-) -> Place:
-    """Return how requests for a service are placed."""
-    if service.engine is None:
-        return lambda job, fill, candidates: place_call(fill, candidates)
-
-    def place(
-        job: Job,
-        fill: float,
-        candidates: Iterable[Candidate],
-    ) -> Placed | None:
-        homes = homes_of(job.prompt.affinity, endpoints)
-        return place_generation(job, fill, service, candidates, homes)
-
-    return place
--- a/tests/test_serving_placement.py
+++ b/tests/test_serving_placement.py
@@ -13,9 +13,10 @@
     BATCH_FRACTION,
     MAX_READING_MS,
     Candidate,
-    homes_of,
+    Placed,
     place_call,
-    placer_for,
+    place_generation,
+    rank_homes,
 )
 
 ENGINES = endpoints_of(ENGINE, 9)
@@ -81,8 +82,15 @@
     return min(engines, key=lambda name: engines[name].free_at)
 
 
+def place(job: Job, fill: float, candidates: list[Candidate]) -> Placed | None:
+    """Place as the chooser does, with every endpoint at hand."""
+    first = rank_homes(job.prompt.affinity, ENGINES)[0]
+    by_name = {each.endpoint.name: each for each in candidates}
+    home = by_name.pop(first)
+    return place_generation(job, fill, ENGINE, home, by_name.values())
+
+
 def by_placement(job: Job, engines: dict[str, ModelEngine], now: float) -> str:
-    place = placer_for(ENGINE, ENGINES)
     candidates = [
         Candidate(engine, Load(1, max(0, model.free_at - now) * 1000))
         for engine in ENGINES
@@ -103,45 +111,44 @@
 
 def test_a_busy_home_lets_an_idle_engine_help() -> None:
     job = job_of('a')
-    (home,) = homes_of('b', ENGINES)
+    home = rank_homes('b', ENGINES)[0]
     full = Load(64, 0)
     candidates = [
         Candidate(engine, full if engine.name == home else Load())
         for engine in ENGINES
     ]
-    placed = placer_for(ENGINE, ENGINES)(job, 1, candidates)
+    placed = place(job, 1, candidates)
     assert placed is not None
     assert placed.endpoint.name != home
 
 
 def test_a_busy_engine_does_not_read_what_its_neighbour_has_read() -> None:
     job = job_of('a')
-    (home,) = homes_of('b', ENGINES)
+    home = rank_homes('b', ENGINES)[0]
     busy = Load(int(64 * BATCH_FRACTION) - 1, MAX_READING_MS / 2)
     full = Load(64, 0)
     candidates = [
         Candidate(engine, full if engine.name == home else busy)
         for engine in ENGINES
     ]
-    assert placer_for(ENGINE, ENGINES)(job, 1, candidates) is None
+    assert place(job, 1, candidates) is None
 
 
 def test_an_account_that_is_ahead_finds_less_room() -> None:
     job = job_of('a')
     candidates = [Candidate(engine, Load(4, 0)) for engine in ENGINES]
-    place = placer_for(ENGINE, ENGINES)
     assert place(job, 1, candidates) is not None
     assert place(job, 0.1, candidates) is None
 
 
 def test_homes_move_only_with_their_engine() -> None:
     names = [f'b{number}' for number in range(200)]
-    before = {name: homes_of(name, ENGINES) for name in names}
     gone = ENGINES[3]
     left = tuple(engine for engine in ENGINES if engine is not gone)
-    for name, homes in before.items():
-        if gone.name not in homes:
-            assert homes_of(name, left) == homes
+    for name in names:
+        before = rank_homes(name, ENGINES)
+        after = rank_homes(name, left)
+        assert after == tuple(each for each in before if each != gone.name)
 
 
 def test_a_slow_engine_is_passed_over() -> None:
