Ask once more before a call is sent; spread first calls to cold engines

A cold engine got 22 requests in a second, as each router let its first one go at once (FAILBACK).

Ruled out: too few routers counted (60 were listed), a late list (the entry told of the cold start).

Change: the directory is asked again when the connection stands; the first turn of a router at a cold engine falls into the gap by a hash. Calls that may be repeated use kept connections, streams included.

Before: the tests of 60 routers and of an engine that leaves while it is dialled fail. After: they pass.

--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -45,6 +45,7 @@
 
     def __init__(
         self,
+        host: str,
         catalog: Callable[[], Catalog | None],
         directory: Directory,
         clock: Callable[[], float],
@@ -53,7 +54,7 @@
         """Start without any load."""
         self.loads = LoadBook(clock)
         self.health = Health(clock)
-        self.gate = ColdGate(clock, routers)
+        self.gate = ColdGate(host, clock, routers)
         self._catalog = catalog
         self._directory = directory
         self._clock = clock
@@ -85,6 +86,10 @@
         running = self.loads.begin(endpoint.name, placed.reading)
         return Reservation(placed, running)
 
+    def is_usable(self, reservation: Reservation) -> bool:
+        """Return whether the endpoint may still be sent a request."""
+        return self._directory.is_usable(reservation.endpoint)
+
     def release(self, reservation: Reservation) -> None:
         """Give a place back."""
         self.loads.end(reservation.running)
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -77,6 +77,7 @@
 class Exchange:
     """The state of one attempt while it runs.
 
+    ``may_send`` is asked when a connection stands, before the first byte.
     ``patience`` is how long the endpoint may take to its first byte of the
     body, in seconds; silence later ends a stream that may be resumed after
     ``silence``.
@@ -96,6 +97,7 @@
         self.sent = False
         self.on_first_byte: Callable[[], None] = _ignore
         self.first_byte_at: float | None = None
+        self.may_send: Callable[[], bool] = _always
         self._line = line
         self._job = job
         self._endpoint = endpoint
@@ -110,7 +112,7 @@
         A kept connection is used for calls that may be repeated: it may
         close just as the request is sent. It is then replaced once.
         """
-        may_reuse = self._job.route.kind is CallKind.REPEATABLE
+        may_reuse = self._job.route.may_repeat
         attempt = await self._try_once(fresh=not may_reuse)
         if attempt is _STALE:
             attempt = await self._try_once(fresh=True)
@@ -145,6 +147,9 @@
         return failed(failure, self._relay.usage(0), self._relay.last_id)
 
     async def _talk(self, conn: Connection) -> Attempt:
+        if not self.may_send():
+            conn.clean = True
+            return NOT_WANTED
         self.sent = True
         conn.send(self._encode())
         patience = self._loop.time() + self.patience
@@ -320,6 +325,12 @@
     reason=ENDPOINT_REFUSED,
     detail='another endpoint has the address',
 )
+NOT_WANTED = Attempt(
+    Verdict.NOT_RUN,
+    Outcome.UNUSED,
+    reason=ENDPOINT_REFUSED,
+    detail='the endpoint left before the request was sent',
+)
 _STALE = Attempt(
     Verdict.MAY_HAVE_RUN,
     Outcome.BROKEN,
@@ -328,6 +339,11 @@
 )
 
 
+def _always() -> bool:
+    """Allow the request to be sent."""
+    return True
+
+
 def _ignore() -> None:
     """Take no notice of the first byte."""
 
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -91,6 +91,7 @@
             cfg, feeds, self.directory, self.peers.host_list, log.info
         )
         self.chooser = Chooser(
+            cfg.host,
             lambda: self.follower.orders.catalog,
             self.directory,
             self._clock,
@@ -105,10 +106,10 @@
             self._waiting_accounts,
         )
         self._budgets: dict[str, RetryShare] = {}
-        self._pool = ConnectionPool(POOL)
+        self.pool = ConnectionPool(POOL)
         quarantine = Quarantine(self.peers, self.metrics, self.timeline)
         serving = ServingParts(
-            Line(self._pool, names),
+            Line(self.pool, names),
             self.chooser,
             self._room,
             self._budget,
@@ -168,7 +169,7 @@
         for task in self._tasks:
             task.cancel()
         await self.server.close()
-        self._pool.close()
+        self.pool.close()
         for page in self._pages:
             page.close()
         await self.peers.stop()
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -140,6 +140,7 @@
             parts.line, job, grant.endpoint, self._reply, self._relay
         )
         self._set_patience(exchange)
+        exchange.may_send = lambda: parts.chooser.is_usable(grant)
         exchange.on_first_byte = lambda: parts.chooser.loads.note_read(
             grant.running
         )
--- a/src/sesamespoke/serving/settings.py
+++ b/src/sesamespoke/serving/settings.py
@@ -27,7 +27,7 @@
     """
 
     endpoints: float = 0.8
-    hosts: float = 2.0
+    hosts: float = 5.0
     lease: float = 10.0
 
 
--- a/src/sesamespoke/serving/shares.py
+++ b/src/sesamespoke/serving/shares.py
@@ -10,6 +10,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import xxhash
+
+from sesamespoke.serving.catalog import HASH_SPAN
+
 BUCKET_SECONDS = 0.5
 """How finely the window of the retry budget slides."""
 SAFE_FRACTION = 0.8
@@ -85,10 +89,12 @@
 
     def __init__(
         self,
+        host: str,
         clock: Callable[[], float],
         routers: Callable[[], int],
     ) -> None:
         """Start with no endpoint used."""
+        self._host = host
         self._clock = clock
         self._routers = routers
         self._next_at: dict[str, float] = {}
@@ -98,14 +104,31 @@
 
         ``rate`` is what it bears in a second from all routers.
         """
-        return rate <= 0 or self._clock() >= self._next_at.get(endpoint, 0)
+        if rate <= 0:
+            return True
+        next_at = self._next_at.get(endpoint)
+        if next_at is None:
+            next_at = self._clock() + self._first_turn(endpoint, rate)
+            self._next_at[endpoint] = next_at
+        return self._clock() >= next_at
 
     def note_sent(self, endpoint: str, rate: float) -> None:
         """Count a request that goes to a cold endpoint."""
         if rate > 0:
-            gap = max(1, self._routers()) / rate
-            self._next_at[endpoint] = self._clock() + gap
+            self._next_at[endpoint] = self._clock() + self._gap(rate)
 
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint that has gone."""
         self._next_at.pop(endpoint, None)
+
+    def _gap(self, rate: float) -> float:
+        return max(1, self._routers()) / rate
+
+    def _first_turn(self, endpoint: str, rate: float) -> float:
+        """Return the seconds to the first request of this router.
+
+        All routers learn of a cold endpoint at about the same time; their
+        first requests are spread over the gap by a hash.
+        """
+        point = xxhash.xxh3_64_intdigest(f'{self._host} {endpoint}'.encode())
+        return self._gap(rate) * point / HASH_SPAN
