Let three routers read the platform's list of engines for all

Cause: every router read the engines' entries every 0.8 s and opened its watch of the orders every 2 s.

Ruled out: stale reads (they may be seconds old, the bound of a drain is 2 s); a watch of the entries (engines beat every 1.2 s).

Change: the first three routers in a hashed order read and tell the others; a list older than what is known is not taken, and who hears nothing for 1.6 turns reads by itself. Peers also tell which orders are in force, so that the others' watches may last 8 s.

--- a/src/sesamespoke/codec.py
+++ b/src/sesamespoke/codec.py
@@ -15,7 +15,11 @@
 
 import msgpack
 
-from sesamespoke import ledger_messages, membership_messages
+from sesamespoke import (
+    ledger_messages,
+    membership_messages,
+    routing_messages,
+)
 from sesamespoke import messages as msg
 from sesamespoke.names import (
     INDEX_BYTES,
@@ -54,7 +58,8 @@
         17: msg.DocumentRoot,
         18: msg.DocumentPart,
         19: msg.ClaimRequest,
-        40: msg.RouterLoads,
+        40: routing_messages.RouterLoads,
+        41: routing_messages.EndpointList,
     },
 )
 
--- a/src/sesamespoke/messages.py
+++ b/src/sesamespoke/messages.py
@@ -9,6 +9,7 @@
 
 from sesamespoke.ledger_messages import LedgerMessage
 from sesamespoke.membership_messages import MembershipMessage
+from sesamespoke.routing_messages import RoutingMessage
 
 Row = tuple[str, int, int, float]
 EndedRow = tuple[int, int, int, float]
@@ -198,21 +199,6 @@
     trying: str = ''
 
 
-@dataclass(frozen=True, slots=True)
-class RouterLoads:
-    """What one router has in flight, and what it has granted.
-
-    ``endpoints`` rows: endpoint, requests running, milliseconds of prompts
-    to read. ``granted`` rows: account and cost since the last report; they
-    are added up, so that a lost report loses some fairness, no safety.
-    ``waiting`` names the accounts that wait at the router.
-    """
-
-    endpoints: tuple[tuple[str, int, float], ...]
-    granted: tuple[tuple[str, float], ...]
-    waiting: tuple[str, ...]
-
-
 Message = (
     Hello
     | Heartbeat
@@ -229,7 +215,7 @@
     | ClaimRequest
     | ClaimReply
     | Suspect
-    | RouterLoads
+    | RoutingMessage
     | LedgerMessage
     | MembershipMessage
 )
--- a/src/sesamespoke/platform/feeds.py
+++ b/src/sesamespoke/platform/feeds.py
@@ -8,7 +8,7 @@
 
 from sesamespoke.platform.kv_store import KvStore
 from sesamespoke.platform.orders import read_catalog
-from sesamespoke.serving.directory import ListedEndpoint
+from sesamespoke.serving.directory import ListedEndpoint, Listing
 from sesamespoke.serving.ports import BadEntry, Evacuation, Order
 from sesamespoke.store import Absent, Entry, StoreUnavailable
 
@@ -32,25 +32,26 @@
 
     async def list_endpoints(
         self,
-    ) -> tuple[ListedEndpoint, ...] | StoreUnavailable:
+    ) -> Listing | StoreUnavailable:
         """Read the engines' entries; one that can't be read is left out."""
-        listed = await self.store.scan(SERVERS)
+        listed = await self.store.scan_at(SERVERS)
         if isinstance(listed, StoreUnavailable):
             return listed
+        entries, revision = listed
         now = asyncio.get_running_loop().time()
         before = self._decoded
         self._decoded = {}
-        for entry in listed:
+        for entry in entries:
             known = before.get(entry.key)
             if known is None or known[0] != entry.revision:
                 known = (entry.revision, read_endpoint(entry, now))
             self._decoded[entry.key] = known
         found = (endpoint for _, endpoint in self._decoded.values())
-        return tuple(endpoint for endpoint in found if endpoint is not None)
+        return Listing(revision, tuple(filter(None, found)))
 
-    async def watch_orders(self) -> AsyncGenerator[Order]:
+    async def watch_orders(self, wait: float) -> AsyncGenerator[Order]:
         """Yield what operators have ordered, then each change."""
-        async for change in self.store.watch(ORDERS):
+        async for change in self.store.watch(ORDERS, wait):
             if isinstance(change, StoreUnavailable):
                 yield change
                 continue
--- a/src/sesamespoke/platform/kv_store.py
+++ b/src/sesamespoke/platform/kv_store.py
@@ -44,7 +44,7 @@
 CONDITION_FAILED = 412
 REFUSED = frozenset((429, 503))
 
-Listing = tuple[tuple[Entry, ...], int]
+Page = tuple[tuple[Entry, ...], int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +75,7 @@
 
     async def scan(self, prefix: str) -> tuple[Entry, ...] | StoreUnavailable:
         """Read every key that begins with a prefix."""
-        listed = await self._list(prefix)
+        listed = await self.scan_at(prefix)
         return listed if isinstance(listed, StoreUnavailable) else listed[0]
 
     async def transact(
@@ -130,6 +130,7 @@
     async def watch(
         self,
         prefix: str,
+        wait: float = WATCH_SECONDS,
     ) -> AsyncGenerator[Entry | Absent | StoreUnavailable]:
         """Yield what stands below a prefix, then each change of it.
 
@@ -138,7 +139,7 @@
         """
         known: set[str] = set()
         while True:
-            listed = await self._list(prefix)
+            listed = await self.scan_at(prefix)
             if isinstance(listed, StoreUnavailable):
                 yield listed
                 await asyncio.sleep(PAUSE_SECONDS)
@@ -149,7 +150,7 @@
             for found in entries:
                 yield found
             known = {entry.key for entry in entries}
-            async for change in self._changes(prefix, revision):
+            async for change in self._changes(prefix, revision, wait):
                 _note_change(known, change)
                 yield change
 
@@ -161,18 +162,17 @@
         self,
         prefix: str,
         revision: int,
+        wait: float,
     ) -> AsyncGenerator[Entry | Absent | StoreUnavailable]:
         """Yield changes until the history has a gap or the store is away."""
         while True:
             query = _query(
                 prefix=prefix,
                 after_revision=revision,
-                wait_ms=round(WATCH_SECONDS * MS_PER_SECOND),
+                wait_ms=round(wait * MS_PER_SECOND),
             )
             path = f'/v1/kv-watch?{query}'
-            reply = await self._call(
-                'GET', path, timeout=WATCH_SECONDS + ANSWER_SECONDS
-            )
+            reply = await self._call('GET', path, timeout=wait + ANSWER_SECONDS)
             if isinstance(reply, StoreUnavailable):
                 yield reply
                 await asyncio.sleep(PAUSE_SECONDS)
@@ -185,7 +185,7 @@
                     yield change
             revision = max(revision, _revision_of(reply.content))
 
-    async def _list(self, prefix: str) -> Listing | StoreUnavailable:
+    async def scan_at(self, prefix: str) -> Page | StoreUnavailable:
         """Return all entries below a prefix, and the first page's revision."""
         entries: list[Entry] = []
         revision = 0
--- /dev/null
+++ b/src/sesamespoke/routing_messages.py
@@ -0,0 +1,39 @@
+"""The messages by which routers of routed services stay in step."""
+
+from dataclasses import dataclass
+
+EndpointRow = tuple[str, str, str, str, int, bool, int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class RouterLoads:
+    """What one router has in flight, and what it has granted.
+
+    ``endpoints`` rows: endpoint, requests running, milliseconds of prompts
+    to read. ``granted`` rows: account and cost since the last report; they
+    are added up, so that a lost report loses some fairness, no safety.
+    ``waiting`` names the accounts that wait at the router.
+    """
+
+    endpoints: tuple[tuple[str, int, float], ...]
+    granted: tuple[tuple[str, float], ...]
+    waiting: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointList:
+    """The platform's list of endpoints, as a router has just read it.
+
+    ``revision`` is the store's; ``digest`` identifies the list and
+    ``orders`` the operators' orders in force at the sender. Rows: name,
+    service, address, data centre, slots, leaving, milliseconds of cold
+    start left, incarnation. Without rows the list is the one of the digest.
+    """
+
+    revision: int
+    digest: int
+    orders: int
+    rows: tuple[EndpointRow, ...]
+
+
+RoutingMessage = RouterLoads | EndpointList
--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+import xxhash
+
 REGAIN_SECONDS = 2.0
 """How soon a live endpoint's entry is back after an outage of the list."""
 
@@ -36,6 +38,14 @@
         return f'http://{self.address}'
 
 
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All endpoints that were listed at a revision of the store."""
+
+    revision: int
+    endpoints: tuple[ListedEndpoint, ...]
+
+
 Listeners = list[Callable[['Directory'], None]]
 
 
@@ -48,14 +58,18 @@
         self.evacuated: frozenset[str] = frozenset()
         self.listeners: Listeners = []
         self.listed_at: float = float('-inf')
+        self.revision = 0
+        self.digest = 0
         self._clock = clock
         self._regain_until: float = 0
         self._missing: set[str] = set()
         self._usable: dict[str, tuple[ListedEndpoint, ...]] = {}
 
-    def replace(self, listed: Iterable[ListedEndpoint]) -> None:
+    def replace(self, listing: Listing) -> None:
         """Take a whole list that the platform has just told."""
-        fresh = {endpoint.name: endpoint for endpoint in listed}
+        fresh = {endpoint.name: endpoint for endpoint in listing.endpoints}
+        self.revision = max(self.revision, listing.revision)
+        self.digest = _digest_of(listing.endpoints)
         now = self._clock()
         self._missing = set()
         if now < self._regain_until:
@@ -65,6 +79,11 @@
             self.endpoints = fresh
             self._changed()
 
+    def confirm(self, revision: int) -> None:
+        """Note that the list still stands at a later revision."""
+        self.revision = max(self.revision, revision)
+        self.listed_at = self._clock()
+
     def note_outage(self) -> None:
         """Note that the list can't be read now."""
         self._regain_until = self._clock() + REGAIN_SECONDS
@@ -113,6 +132,15 @@
             listener(self)
 
 
+def _digest_of(endpoints: Iterable[ListedEndpoint]) -> int:
+    """Return what is alike for lists that say the same, cold times apart."""
+    rows = sorted(
+        f'{each.name} {each.service} {each.address} {each.leaving} {each.born}'
+        for each in endpoints
+    )
+    return xxhash.xxh3_64_intdigest('\n'.join(rows).encode()) >> 1
+
+
 def count_by_service(
     endpoints: Mapping[str, ListedEndpoint],
 ) -> dict[str, int]:
--- a/src/sesamespoke/serving/following.py
+++ b/src/sesamespoke/serving/following.py
@@ -7,11 +7,19 @@
 import asyncio
 import json
 from collections.abc import Callable
+from contextlib import aclosing, suppress
 from dataclasses import dataclass
 
+import xxhash
+
 from sesamespoke.host_list import HostList
 from sesamespoke.serving.catalog import Catalog
-from sesamespoke.serving.directory import Directory, count_by_service
+from sesamespoke.serving.directory import (
+    Directory,
+    ListedEndpoint,
+    count_by_service,
+)
+from sesamespoke.serving.news import News
 from sesamespoke.serving.ports import BadEntry, Evacuation, Feeds, Order
 from sesamespoke.serving.serving_call import Log
 from sesamespoke.serving.settings import ServingSettings
@@ -29,6 +37,12 @@
     catalog: Catalog | None = None
     evacuated: frozenset[str] = frozenset()
 
+    def digest(self) -> int:
+        """Return what is alike where the same orders are in force."""
+        version = self.catalog.version if self.catalog else 0
+        text = ' '.join((str(version), *sorted(self.evacuated)))
+        return xxhash.xxh3_64_intdigest(text.encode()) >> 1
+
 
 class Dependency:
     """Tells when something that the router needs is lost or regained."""
@@ -60,6 +74,7 @@
         feeds: Feeds,
         directory: Directory,
         hosts: HostList,
+        news: News,
         log: Log,
     ) -> None:
         """Prepare; nothing is read yet."""
@@ -69,8 +84,15 @@
         self._feeds = feeds
         self._directory = directory
         self._hosts = hosts
+        self._news = news
+        news.orders_digest = self.orders.digest
+        news.on_other_orders = self._ask_anew
+        self._watching: asyncio.Task[None] | None = None
+        self._asked_at: float = 0
         self._log = log
         self._lease: Lease | None = None
+        self._known: dict[str, ListedEndpoint] = {}
+        directory.listeners.append(self._tell_changes)
 
     def tasks(self) -> list[asyncio.Task[None]]:
         """Start to follow; return the tasks."""
@@ -90,13 +112,34 @@
             )
 
     async def _follow_orders(self) -> None:
+        """Watch the orders; begin anew when peers know of others."""
         store = Dependency('orders', self._log)
-        async for order in self._feeds.watch_orders():
-            if isinstance(order, StoreUnavailable):
-                store.note(order)
-                continue
-            store.note(None)
-            self._obey(order)
+        while True:
+            self._watching = asyncio.create_task(self._watch_orders(store))
+            with suppress(asyncio.CancelledError):
+                await self._watching
+            if _is_cancelled():
+                self._watching.cancel()
+                return
+
+    async def _watch_orders(self, store: Dependency) -> None:
+        feeds = self._cfg.feeds
+        wait = feeds.watch if self._news.is_reader() else feeds.quiet_watch
+        async with aclosing(self._feeds.watch_orders(wait)) as orders:
+            async for order in orders:
+                if isinstance(order, StoreUnavailable):
+                    store.note(order)
+                    continue
+                store.note(None)
+                self._obey(order)
+
+    def _ask_anew(self) -> None:
+        """Read the orders again: a peer has others in force."""
+        now = asyncio.get_running_loop().time()
+        if self._watching is None or now - self._asked_at < RETRY_SECONDS:
+            return
+        self._asked_at = now
+        self._watching.cancel()
 
     def _obey(self, order: Order) -> None:
         if isinstance(order, BadEntry):
@@ -131,7 +174,11 @@
 
     async def _follow_endpoints(self) -> None:
         store = Dependency('endpoints', self._log)
+        interval = self._cfg.feeds.endpoints
         while True:
+            if not self._news.must_read(interval):
+                await asyncio.sleep(interval / 2)
+                continue
             listed = await self._feeds.list_endpoints()
             if isinstance(listed, StoreUnavailable):
                 store.note(listed)
@@ -139,13 +186,13 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             store.note(None)
-            self._tell_changes(listed)
-            await asyncio.sleep(self._cfg.feeds.endpoints)
+            self._directory.replace(listed)
+            self._news.tell(listed)
+            await asyncio.sleep(interval)
 
-    def _tell_changes(self, listed: tuple[object, ...]) -> None:
-        before = dict(self._directory.endpoints)
-        self._directory.replace(listed)  # type: ignore[arg-type]
-        after = self._directory.endpoints
+    def _tell_changes(self, directory: Directory) -> None:
+        before, after = self._known, dict(directory.endpoints)
+        self._known = after
         for name in before.keys() - after.keys():
             self._log('endpoint_gone', endpoint=name)
         for name, endpoint in after.items():
@@ -156,10 +203,14 @@
                     endpoint=name,
                     service=endpoint.service,
                     data_centre=endpoint.data_centre,
+                    revision=directory.revision,
                 )
             elif old.leaving != endpoint.leaving:
                 self._log(
-                    'endpoint_leaving', endpoint=name, leaving=endpoint.leaving
+                    'endpoint_leaving',
+                    endpoint=name,
+                    leaving=endpoint.leaving,
+                    revision=directory.revision,
                 )
         if before.keys() != after.keys():
             self._log('endpoints', **count_by_service(after))
@@ -170,7 +221,9 @@
             if not isinstance(listed, StoreUnavailable):
                 rows = [row for row in map(_read_host, listed) if row]
                 self._hosts.take({'entry_hosts': rows})
-            await asyncio.sleep(self._cfg.feeds.hosts)
+            feeds = self._cfg.feeds
+            is_reader = self._news.is_reader()
+            await asyncio.sleep(feeds.hosts if is_reader else feeds.quiet_hosts)
 
     async def _announce(self) -> None:
         """Keep this host's entry in the store under a lease."""
@@ -219,5 +272,11 @@
         return None
 
 
+def _is_cancelled() -> bool:
+    """Return whether the running task itself is to end."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _ignore(catalog: Catalog) -> None:
     """Take no notice of a catalog."""
--- a/src/sesamespoke/serving/peer_loads.py
+++ b/src/sesamespoke/serving/peer_loads.py
@@ -11,7 +11,8 @@
 from typing import Protocol
 
 from sesamespoke.links import Links, View
-from sesamespoke.messages import Message, RouterLoads
+from sesamespoke.messages import Message
+from sesamespoke.routing_messages import RouterLoads
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.load import LoadBook, LoadRow
 
--- a/src/sesamespoke/serving/ports.py
+++ b/src/sesamespoke/serving/ports.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from sesamespoke.serving.catalog import Catalog
-from sesamespoke.serving.directory import ListedEndpoint
+from sesamespoke.serving.directory import Listing
 from sesamespoke.store import KeyStore, StoreUnavailable
 
 
@@ -37,8 +37,11 @@
 
     async def list_endpoints(
         self,
-    ) -> tuple[ListedEndpoint, ...] | StoreUnavailable:
+    ) -> Listing | StoreUnavailable:
         """Read the endpoints that are listed now."""
 
-    def watch_orders(self) -> AsyncGenerator[Order]:
-        """Yield what operators have ordered, then each change."""
+    def watch_orders(self, wait: float) -> AsyncGenerator[Order]:
+        """Yield what operators have ordered, then each change.
+
+        The platform is asked anew every ``wait`` seconds without a change.
+        """
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -19,6 +19,7 @@
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.following import Follower
 from sesamespoke.serving.intake import ReadHead
+from sesamespoke.serving.news import News
 from sesamespoke.serving.peer_loads import PeerLoads
 from sesamespoke.serving.ports import Feeds
 from sesamespoke.serving.routed_server import (
@@ -88,7 +89,12 @@
         )
         self.directory = Directory(self._clock)
         self.follower = Follower(
-            cfg, feeds, self.directory, self.peers.host_list, log.info
+            cfg,
+            feeds,
+            self.directory,
+            self.peers.host_list,
+            News(self.peers, self.directory),
+            log.info,
         )
         self.chooser = Chooser(
             cfg.host,
--- a/src/sesamespoke/serving/settings.py
+++ b/src/sesamespoke/serving/settings.py
@@ -23,11 +23,16 @@
     """How often the platform is asked, in seconds.
 
     The list of endpoints and the hosts' own entries are read again and
-    again; an own entry lapses ``lease`` after its host has gone.
+    again, and a watch of the orders is opened anew; the ``quiet`` figures
+    are those of routers that others tell. An own entry lapses ``lease``
+    after its host has gone.
     """
 
     endpoints: float = 0.8
     hosts: float = 5.0
+    quiet_hosts: float = 20.0
+    watch: float = 2.0
+    quiet_watch: float = 8.0
     lease: float = 10.0
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -105,7 +105,7 @@
 
 
 async def follow(store: KvStore, orders: asyncio.Queue[Order]) -> None:
-    async for order in PlatformFeeds(store).watch_orders():
+    async for order in PlatformFeeds(store).watch_orders(2):
         orders.put_nowait(order)
 
 
--- a/tests/test_serving_directory.py
+++ b/tests/test_serving_directory.py
@@ -4,27 +4,27 @@
 
 from support_serving_jobs import ENGINE, Clock, endpoints_of
 
-from sesamespoke.serving.directory import REGAIN_SECONDS, Directory
+from sesamespoke.serving.directory import REGAIN_SECONDS, Directory, Listing
 
 FIRST, SECOND = endpoints_of(ENGINE, 2)
 
 
 def opened(clock: Clock) -> Directory:
     directory = Directory(clock)
-    directory.replace((FIRST, SECOND))
+    directory.replace(Listing(1, (FIRST, SECOND)))
     return directory
 
 
 def test_a_leaving_endpoint_gets_no_new_work() -> None:
     directory = opened(Clock())
-    directory.replace((replace(FIRST, leaving=True), SECOND))
+    directory.replace(Listing(1, (replace(FIRST, leaving=True), SECOND)))
     assert directory.usable('llm') == (SECOND,)
     assert not directory.is_usable(FIRST)
 
 
 def test_an_endpoint_that_is_no_longer_listed_is_gone_at_once() -> None:
     directory = opened(Clock())
-    directory.replace((SECOND,))
+    directory.replace(Listing(1, (SECOND,)))
     assert directory.usable('llm') == (SECOND,)
 
 
@@ -40,10 +40,10 @@
     clock = Clock()
     directory = opened(clock)
     directory.note_outage()
-    directory.replace((SECOND,))
+    directory.replace(Listing(1, (SECOND,)))
     assert set(directory.usable('llm')) == {FIRST, SECOND}
     clock.now += REGAIN_SECONDS
-    directory.replace((SECOND,))
+    directory.replace(Listing(1, (SECOND,)))
     assert directory.usable('llm') == (SECOND,)
 
 
@@ -51,7 +51,7 @@
     directory = opened(Clock())
     directory.note_outage()
     other = replace(SECOND, name='new', address=FIRST.address)
-    directory.replace((other,))
+    directory.replace(Listing(1, (other,)))
     assert FIRST not in directory.usable('llm')
 
 
@@ -65,5 +65,5 @@
 
 def test_an_endpoint_that_started_anew_is_another() -> None:
     directory = opened(Clock())
-    directory.replace((replace(FIRST, born=2), SECOND))
+    directory.replace(Listing(1, (replace(FIRST, born=2), SECOND)))
     assert not directory.is_usable(FIRST)
