Begin a follower anew that fails

Cause: a task that follows the platform ended at its first unexpected error, and the router went on with what it knew.

Change: each loop is begun anew 0.3 s after an error that is logged; the tests' router is stopped also after a failure.

Before: the test of a failing listener saw no engine. After: it passes.

--- a/src/sesamespoke/serving/following.py
+++ b/src/sesamespoke/serving/following.py
@@ -6,10 +6,11 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import aclosing, suppress
 from dataclasses import dataclass
 
+import structlog
 import xxhash
 
 from sesamespoke.host_list import HostList
@@ -30,6 +31,9 @@
 """The pause before the store is asked again that did not answer."""
 
 
+log = structlog.get_logger()
+
+
 @dataclass(slots=True)
 class Orders:
     """The operators' orders that are in force at this router."""
@@ -97,12 +101,12 @@
     def tasks(self) -> list[asyncio.Task[None]]:
         """Start to follow; return the tasks."""
         loops = (
-            self._follow_orders(),
-            self._follow_endpoints(),
-            self._follow_hosts(),
-            self._announce(),
+            self._follow_orders,
+            self._follow_endpoints,
+            self._follow_hosts,
+            self._announce,
         )
-        return [asyncio.create_task(loop) for loop in loops]
+        return [asyncio.create_task(self._keep(loop)) for loop in loops]
 
     async def withdraw(self) -> None:
         """Take back the own entry, so that peers need not wait."""
@@ -111,6 +115,19 @@
                 (), (Put(self._own_key(), b'', self._lease.number),)
             )
 
+    async def _keep(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop; begin it anew if it fails.
+
+        A router whose beliefs no longer follow the platform would go on
+        with stale ones.
+        """
+        while not _is_cancelled():
+            try:
+                await loop()
+            except Exception:
+                log.exception('follower_failed', loop=loop.__name__)
+                await asyncio.sleep(RETRY_SECONDS)
+
     async def _follow_orders(self) -> None:
         """Watch the orders; begin anew when peers know of others."""
         store = Dependency('orders', self._log)
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -28,6 +28,7 @@
 from sesamespoke.platform.feeds import PlatformFeeds
 from sesamespoke.platform.headers import NAMES, read_head
 from sesamespoke.platform.kv_store import KvStore
+from sesamespoke.serving.directory import Directory
 from sesamespoke.serving.router import RoutedRouter
 from sesamespoke.serving.settings import (
     FeedSettings,
@@ -140,15 +141,17 @@
     store.put('op/config', CONFIG)
     router = RoutedRouter(CFG, PlatformFeeds(client), NAMES, read_head)
     fleet = Fleet(store, router, asyncio.create_task(router.run()))
-    await until(lambda: router.is_ready)
-    yield fleet
-    router.stop.ask()
-    async with asyncio.timeout(PATIENCE_SECONDS):
-        await fleet.running
-    client.close()
-    store.stop()
-    for engine in fleet.engines.values():
-        engine.stop()
+    try:
+        await until(lambda: router.is_ready)
+        yield fleet
+    finally:
+        router.stop.ask()
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            await fleet.running
+        client.close()
+        store.stop()
+        for engine in fleet.engines.values():
+            engine.stop()
 
 
 def play(steps: Callable[[Fleet], Awaitable[None]]) -> None:
@@ -474,6 +477,24 @@
     play(steps)
 
 
+def test_a_follower_that_fails_begins_anew() -> None:
+    """A failure once ended the task, and the list of engines stood still."""
+
+    async def steps(fleet: Fleet) -> None:
+        directory = fleet.router.directory
+
+        def fail(_: Directory) -> None:
+            directory.listeners.remove(fail)
+            raise ValueError('once')
+
+        directory.listeners.append(fail)
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        await fleet.add_engine('i-2', 'desk', answer_well)
+        assert (await (await fleet.connect()).ask('/l/1')).status == 200
+
+    play(steps)
+
+
 def test_a_planned_stop_cuts_nothing_and_refuses_what_comes_late() -> None:
     async def slow(asked: Asked, writer: Writer) -> None:
         writer.write(head_bytes(asked, 200, CHUNKED))
