--- a/src/sesamespoke/platform/kv_store.py
+++ b/src/sesamespoke/platform/kv_store.py
@@ -123,10 +123,6 @@
             return Absent('', 0)
         return _make_lease(lease.number, reply.content, asked_at)
 
-    async def end_lease(self, lease: Lease) -> None:
-        """Let a lease end now, with the keys that it holds."""
-        await self._call('DELETE', f'/v1/kv-lease-end/{lease.number}')
-
     async def watch(
         self,
         prefix: str,
--- a/src/sesamespoke/platform/orders.py
+++ b/src/sesamespoke/platform/orders.py
@@ -93,13 +93,9 @@
     engine = row.get('engine')
     shape = None
     if engine:
-        shape = EngineShape(
-            int(engine['slots']),
-            int(engine.get('kv_cache_tokens') or 0),
-        )
+        shape = EngineShape(int(engine['slots']))
     return RoutedService(
         row['name'],
-        int(row.get('max_connections') or 0),
         float(row.get('cold_per_s') or 0),
         shape,
     )
@@ -107,9 +103,4 @@
 
 def _read_limits(row: Fields) -> CallerLimits:
     default = CallerLimits()
-    idle_ms = row.get('idle_timeout_ms')
-    return CallerLimits(
-        int(row.get('max_header_bytes') or default.head_bytes),
-        int(row.get('max_body_bytes') or default.body_bytes),
-        idle_ms / MS_PER_SECOND if idle_ms else default.idle_seconds,
-    )
+    return CallerLimits(int(row.get('max_body_bytes') or default.body_bytes))
--- a/src/sesamespoke/serving/catalog.py
+++ b/src/sesamespoke/serving/catalog.py
@@ -61,10 +61,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineShape:
-    """A model engine's batch size and cache, in requests and tokens."""
+    """A model engine's batch size, in requests."""
 
     slots: int
-    cache_tokens: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,18 +74,15 @@
     """
 
     name: str
-    max_connections: int
     cold_rate: float
     engine: EngineShape | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What a caller may send, and how long it may take."""
+    """What a caller may send."""
 
-    head_bytes: int = 16_384
     body_bytes: int = 4_194_304
-    idle_seconds: float = 15
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -62,7 +62,6 @@
         self.digest = 0
         self._clock = clock
         self._regain_until: float = 0
-        self._missing: set[str] = set()
         self._usable: dict[str, tuple[ListedEndpoint, ...]] = {}
 
     def replace(self, listing: Listing) -> None:
@@ -71,7 +70,6 @@
         self.revision = max(self.revision, listing.revision)
         self.digest = _digest_of(listing.endpoints)
         now = self._clock()
-        self._missing = set()
         if now < self._regain_until:
             self._keep_missing(fresh)
         self.listed_at = now
@@ -124,7 +122,6 @@
         for name, endpoint in self.endpoints.items():
             if name not in fresh and endpoint.address not in taken:
                 fresh[name] = endpoint
-                self._missing.add(name)
 
     def _changed(self) -> None:
         self._usable.clear()
--- a/src/sesamespoke/serving/following.py
+++ b/src/sesamespoke/serving/following.py
@@ -108,13 +108,6 @@
         )
         return [asyncio.create_task(self._keep(loop)) for loop in loops]
 
-    async def withdraw(self) -> None:
-        """Take back the own entry, so that peers need not wait."""
-        if self._lease is not None:
-            await self._feeds.store.transact(
-                (), (Put(self._own_key(), b'', self._lease.number),)
-            )
-
     async def _keep(self, loop: Callable[[], Awaitable[None]]) -> None:
         """Run a loop; begin it anew if it fails.
 
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -42,10 +42,6 @@
 """An endpoint of the region answers in milliseconds or not at all."""
 CRASHES_TO_REFUSE = 3
 """Endpoints that one request may break before it is refused."""
-START_WAIT_SECONDS = 6.0
-"""How long a router waits for its peers before it takes their number as
-what the store lists."""
-
 log = structlog.get_logger()
 
 
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -35,7 +35,6 @@
 """A pause of this multiple of the allowed one counts as a lost stream."""
 MIN_SILENCE = 2.0
 """Seconds; callers leave a stream that pauses for longer."""
-UNSENT_STATUS_CODE = 'not sent'
 
 SUSPECT = Reason(
     'request_quarantined',
--- a/src/sesamespoke/serving/stopping.py
+++ b/src/sesamespoke/serving/stopping.py
@@ -1,13 +1,12 @@
 """The planned stop of a router, within the time that the host is given."""
 
 import asyncio
-import signal
 from collections.abc import Awaitable, Callable
 
 from sesamespoke.serving.serving_call import Log
 from sesamespoke.serving.settings import StopSettings
+from sesamespoke.shutdown import StopSignal
 
-SIGNALS = (signal.SIGTERM, signal.SIGINT)
 POLL_SECONDS = 0.05
 
 
@@ -30,28 +29,18 @@
         self._cfg = cfg
         self._active = active
         self._log = log
-        self._asked = asyncio.Event()
+        self._signal = StopSignal(self._tell_began, self._tell_began)
+        self.install = self._signal.install
+        self.ask = self._signal.ask
 
     @property
     def is_asked(self) -> bool:
         """Return whether the stop has begun."""
-        return self._asked.is_set()
-
-    def install(self) -> None:
-        """Handle the signals of a planned stop."""
-        loop = asyncio.get_running_loop()
-        for number in SIGNALS:
-            loop.add_signal_handler(number, self.ask)
-
-    def ask(self) -> None:
-        """Begin the stop."""
-        if not self._asked.is_set():
-            self._asked.set()
-            self._log('stop_began', active=self._active())
+        return self._signal.is_asked
 
     async def run(self, stop: Callable[[], Awaitable[None]]) -> None:
         """Return once the stop was asked for and everything has ended."""
-        await self._asked.wait()
+        await self._signal.wait()
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + self._cfg.longest
         await asyncio.sleep(self._cfg.notice)
@@ -60,3 +49,6 @@
             await asyncio.sleep(POLL_SECONDS)
         self._log('stop_ended', cut=self._active())
         await stop()
+
+    def _tell_began(self) -> None:
+        self._log('stop_began', active=self._active())
--- a/src/sesamespoke/shutdown.py
+++ b/src/sesamespoke/shutdown.py
@@ -33,6 +33,43 @@
     stop: Callable[[], Awaitable[None]]
 
 
+class StopSignal:
+    """The operators' wish that the process stops, told by a signal."""
+
+    def __init__(
+        self,
+        on_first: Callable[[], None],
+        on_again: Callable[[], None],
+    ) -> None:
+        """Call ``on_first`` for the first signal, then ``on_again``."""
+        self._on_first = on_first
+        self._on_again = on_again
+        self._asked = asyncio.Event()
+
+    @property
+    def is_asked(self) -> bool:
+        """Return whether the stop has begun."""
+        return self._asked.is_set()
+
+    def install(self) -> None:
+        """Handle the signals of a planned stop."""
+        loop = asyncio.get_running_loop()
+        for number in SIGNALS:
+            loop.add_signal_handler(number, self.ask)
+
+    def ask(self) -> None:
+        """Begin the stop, or tell that it has begun."""
+        if self._asked.is_set():
+            self._on_again()
+            return
+        self._asked.set()
+        self._on_first()
+
+    async def wait(self) -> None:
+        """Return once the stop has begun."""
+        await self._asked.wait()
+
+
 class Shutdown:
     """Waits for the signal to stop, then takes the steps."""
 
@@ -53,30 +90,18 @@
         self._timeline = timeline
         self._warn_after = warn_after
         self._notice = notice
-        self._asked = asyncio.Event()
+        self._signal = StopSignal(steps.set_unready, self._warn_again)
+        self.install = self._signal.install
+        self.ask = self._signal.ask
 
     @property
     def is_asked(self) -> bool:
         """Return whether the stop has begun."""
-        return self._asked.is_set()
-
-    def install(self) -> None:
-        """Handle the signals of a planned stop."""
-        loop = asyncio.get_running_loop()
-        for number in SIGNALS:
-            loop.add_signal_handler(number, self.ask)
-
-    def ask(self) -> None:
-        """Begin the stop; asked again, tell what it waits for."""
-        if self._asked.is_set():
-            log.warning('already_stopping', active=self._steps.active())
-            return
-        self._asked.set()
-        self._steps.set_unready()
+        return self._signal.is_asked
 
     async def run(self) -> None:
         """Return once the stop was asked for and everything has ended."""
-        await self._asked.wait()
+        await self._signal.wait()
         self._tell('shutdown_began')
         await asyncio.sleep(self._notice)
         self._steps.set_leaving()
@@ -100,6 +125,9 @@
                 log.warning('slow_shutdown', active=self._steps.active())
                 warn_at = quiet_since + self._warn_after
 
+    def _warn_again(self) -> None:
+        log.warning('already_stopping', active=self._steps.active())
+
     def _tell(self, kind: str) -> None:
         active = self._steps.active()
         self._timeline.record(kind, active=active)
--- a/tests/support_platform.py
+++ b/tests/support_platform.py
@@ -181,10 +181,9 @@
             return 404, {}
         return 200, {'ttl_ms': 10_000}
 
-    async def do_kv_lease_end(self, query: Any, body: Any, last: str) -> Answer:
-        for key in self.leases.pop(int(last), set()):
+    def end_lease(self, number: int) -> None:
+        for key in self.leases.pop(number, set()):
             self.remove(key)
-        return 200, {}
 
 
 def send(
--- a/tests/support_serving_jobs.py
+++ b/tests/support_serving_jobs.py
@@ -12,8 +12,8 @@
 from sesamespoke.serving.directory import ListedEndpoint
 from sesamespoke.serving.job import Job, Prompt, PromptPart
 
-ENGINE = RoutedService('llm', 370, 8.9, EngineShape(64, 400_000))
-PLAIN = RoutedService('desk', 110, 0)
+ENGINE = RoutedService('llm', 8.9, EngineShape(64))
+PLAIN = RoutedService('desk', 0)
 STREAM_ROUTE = Route(
     'guide',
     'a.example',
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -71,7 +71,7 @@
         assert lease.ttl == 5
         await store.transact((), (Put('k', b'v', lease.number),))
         assert isinstance(await store.renew_lease(lease), Lease)
-        await store.end_lease(lease)
+        stand_in.end_lease(lease.number)
         assert isinstance(await store.renew_lease(lease), Absent)
         assert isinstance(await store.get('k'), Absent)
 
