--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -130,7 +130,7 @@
             ),
         )
         self.stop = PlannedStop(cfg.stop, lambda: self.server.active, log.info)
-        self._pages = (
+        self.pages = (
             PageServer(cfg.ready, self._tell_ready),
             PageServer(cfg.metrics, self._tell_metrics),
         )
@@ -156,7 +156,7 @@
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
         self.stop.install()
-        for page in self._pages:
+        for page in self.pages:
             page.listen()
         self.server.listen()
         await self.peers.start()
@@ -172,7 +172,7 @@
             task.cancel()
         await self.server.close()
         self.pool.close()
-        for page in self._pages:
+        for page in self.pages:
             page.close()
         await self.peers.stop()
         log.info('stopped', host=self.cfg.host)
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -541,3 +541,31 @@
         assert (await caller.ask('/s/1')).status == 401
 
     play(steps)
+
+
+def test_readiness_and_metrics_are_told_on_ports_of_their_own() -> None:
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        assert (await (await fleet.connect()).ask('/l/1')).status == 200
+        ready, metrics = (page.port for page in fleet.router.pages)
+        assert (await fetch(ready)).status == 200
+        page = (await fetch(metrics)).body.decode()
+        attempts = [
+            line
+            for line in page.splitlines()
+            if line.startswith('attempts_total{')
+        ]
+        assert len(attempts) == 1
+        assert 'outcome="done"' in attempts[0]
+        assert 'service="desk"' in attempts[0]
+        assert 'request_seconds_bucket' in page
+        fleet.router.stop.ask()
+        assert (await fetch(ready)).status == 503
+
+    play(steps)
+
+
+async def fetch(port: int) -> Answered:
+    caller = Caller(*await asyncio.open_connection('127.0.0.1', port))
+    caller.send('/v1/readiness')
+    return await caller.receive()
--- /dev/null
+++ b/tests/test_serving_health.py
@@ -0,0 +1,139 @@
+"""What a router learns of endpoints from how its requests fare."""
+
+from support_serving_jobs import ENGINE, PLAIN, Clock, endpoints_of, job_of
+
+from sesamespoke.attempts import Attempt
+from sesamespoke.limits import Outcome
+from sesamespoke.serving.catalog import Catalog
+from sesamespoke.serving.chooser import Chooser
+from sesamespoke.serving.directory import Directory, Listing
+from sesamespoke.serving.health import (
+    FIRST_PAUSE,
+    LONGEST_PAUSE,
+    MAX_PACE,
+    RECOVERY_SECONDS,
+    REFUSED_PAUSE,
+    Health,
+)
+from sesamespoke.verdicts import Verdict
+
+BROKEN = Attempt(Verdict.MAY_HAVE_RUN, Outcome.BROKEN)
+REFUSED = Attempt(Verdict.NOT_RUN, Outcome.REFUSED)
+FAILED = Attempt(Verdict.MAY_HAVE_RUN, Outcome.LATE)
+NOBODY: frozenset[str] = frozenset()
+
+
+def done(first_token_ms: int) -> Attempt:
+    return Attempt(Verdict.RAN, Outcome.DONE, first_token_ms=first_token_ms)
+
+
+def test_an_endpoint_that_breaks_is_left_alone_ever_longer() -> None:
+    clock = Clock()
+    health = Health(clock)
+    pauses = []
+    for _ in range(6):
+        assert health.note('e', BROKEN, 100)
+        began = clock.now
+        while health.is_paused('e'):
+            clock.now += 0.05
+        pauses.append(clock.now - began)
+    assert abs(pauses[0] - FIRST_PAUSE) < 0.1
+    assert pauses == sorted(pauses)
+    assert abs(pauses[-1] - LONGEST_PAUSE) < 0.1
+
+
+def test_many_requests_that_break_at_once_are_one_failure() -> None:
+    health = Health(Clock())
+    assert health.note('e', BROKEN, 100)
+    assert not health.note('e', BROKEN, 100)
+
+
+def test_a_full_endpoint_is_asked_again_soon() -> None:
+    clock = Clock()
+    health = Health(clock)
+    health.note('e', REFUSED, 100)
+    assert health.is_paused('e')
+    clock.now += REFUSED_PAUSE
+    assert not health.is_paused('e')
+
+
+def test_pace_follows_what_was_seen_and_bad_records_fade() -> None:
+    clock = Clock()
+    health = Health(clock)
+    for _ in range(30):
+        health.note('slow', done(400), 100)
+        health.note('grey', FAILED, 100)
+    assert 3 < health.pace('slow') < 5
+    assert 2 < health.pace('grey') <= MAX_PACE
+    clock.now += RECOVERY_SECONDS + 1
+    assert health.pace('slow') == 1
+
+
+def opened(clock: Clock) -> tuple[Chooser, Directory]:
+    directory = Directory(clock)
+    services = {each.name: each for each in (ENGINE, PLAIN)}
+    catalog = Catalog(1, {}, services)
+    chooser = Chooser('h', lambda: catalog, directory, clock, lambda: 9)
+    directory.replace(Listing(1, endpoints_of(ENGINE, 4)))
+    return chooser, directory
+
+
+def home_of(chooser: Chooser) -> str:
+    reservation = chooser.reserve(job_of('a'), 1, NOBODY)
+    assert reservation is not None
+    chooser.release(reservation)
+    return reservation.endpoint.name
+
+
+def test_while_a_home_is_left_alone_the_next_one_stands_in() -> None:
+    clock = Clock()
+    chooser, _ = opened(clock)
+    home = home_of(chooser)
+    chooser.health.note(home, BROKEN, 100)
+    second = home_of(chooser)
+    assert second != home
+    assert home_of(chooser) == second
+    clock.now += FIRST_PAUSE
+    assert home_of(chooser) == home
+
+
+def test_where_all_are_left_alone_all_are_tried() -> None:
+    chooser, directory = opened(Clock())
+    for name in directory.endpoints:
+        chooser.health.note(name, BROKEN, 100)
+    assert home_of(chooser) in directory.endpoints
+
+
+def test_an_endpoint_that_was_tried_is_not_tried_again() -> None:
+    chooser, directory = opened(Clock())
+    everybody = frozenset(directory.endpoints)
+    assert chooser.reserve(job_of('a'), 1, everybody) is None
+    left = everybody - {home_of(chooser)}
+    reservation = chooser.reserve(job_of('a'), 1, left)
+    assert reservation is not None
+
+
+def test_places_are_counted_until_they_are_given_back() -> None:
+    chooser, _ = opened(Clock())
+    taken = []
+    while (place := chooser.reserve(job_of('a'), 1, NOBODY)) is not None:
+        taken.append(place)
+        chooser.loads.note_read(place.running)
+    assert len(taken) >= 16
+    for place in taken:
+        chooser.release(place)
+    assert chooser.loads.rows() == ()
+    assert chooser.reserve(job_of('a'), 1, NOBODY) is not None
+
+
+def test_what_peers_have_in_flight_takes_room_until_they_are_gone() -> None:
+    clock = Clock()
+    chooser, directory = opened(clock)
+    rows = tuple((name, 64, 0) for name in directory.endpoints)
+    chooser.loads.take('peer', rows)
+    assert chooser.reserve(job_of('a'), 1, NOBODY) is None
+    chooser.loads.forget('peer')
+    assert chooser.reserve(job_of('a'), 1, NOBODY) is not None
+    chooser.loads.take('peer', rows)
+    clock.now += 4
+    assert chooser.reserve(job_of('a'), 1, NOBODY) is not None
