Pass no promise on that an engine did not make; hold retries once more

An engine's own 408, 429 or 503 without its header that says 'not run' went to the caller of a call that may not be repeated, who takes it as not run. A retry, also of a stream that had begun, was refused at once where no endpoint had room at that instant, since its time to wait had passed with the first attempt.

Before: the tests of both fail.

--- a/src/sesamespoke/cli.py
+++ b/src/sesamespoke/cli.py
@@ -11,6 +11,7 @@
         'config': 'sesamespoke.cli_config:config',
         'data-centre': 'sesamespoke.cli_data_centre:data_centre',
         'demo': 'sesamespoke.cli_demo:demo',
+        'platform-router': 'sesamespoke.platform.main:platform_router',
         'router': 'sesamespoke.cli_router:router',
         'stand-in': 'sesamespoke.cli_stand_ins:stand_in',
         'timeline': 'sesamespoke.cli_timeline:timeline',
--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -105,16 +105,24 @@
         self,
         job: Job,
         place: Place[GrantT],
+        *,
+        is_retry: bool = False,
     ) -> GrantT | Refusal:
-        """Return a grant as soon as there is room, or a refusal."""
+        """Return a grant as soon as there is room, or a refusal.
+
+        A retry has waited already, and may have a part of its answer: it
+        is held as long again, however many wait.
+        """
         if not self.waiting:
             grant = place(job, self._shares.room(job.account))
             if grant is not None:
                 self._note_grant(job)
                 return grant
         hold = job.route.objective * HOLD_FRACTION
-        give_up_at = min(job.arrived_at + hold, job.deadline)
-        if self._clock() >= give_up_at or self._is_hopeless(job, hold):
+        begins_at = self._clock() if is_retry else job.arrived_at
+        give_up_at = min(begins_at + hold, job.deadline)
+        hopeless = not is_retry and self._is_hopeless(job, hold)
+        if hopeless or self._clock() >= give_up_at:
             return self.refuse()
         waiter = _Waiter(
             job,
@@ -133,7 +141,7 @@
         """Return a refusal that tells when to come back."""
         wait = (self.waiting + 1) / self._rate()
         wait = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
-        spread = random.uniform(1 - SPREAD, 1 + SPREAD)  # noqa: S311
+        spread = random.uniform(1 - SPREAD, 1 + SPREAD)
         return Refusal(NO_ROOM, Verdict.NOT_RUN, retry_after=wait * spread)
 
     def pump(self) -> None:
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -43,6 +43,8 @@
 ERRORS_FROM = 400
 FAILURES_FROM = 500
 OTHER_ENDPOINT = 421
+PROMISES = frozenset((408, 429, 503))
+"""Callers take these as not run; an endpoint's own need not mean that."""
 MAX_FOREIGN_ANSWERS = 4
 """Answers to earlier requests that are read past on one connection."""
 MAX_ANSWER_BYTES = 8_388_608
@@ -209,6 +211,8 @@
             )
         if head.status < ERRORS_FROM and names.seal not in head.headers:
             raise Failure(BAD_ANSWER, 'the answer is not signed')
+        if head.status in PROMISES and not self._job.route.may_repeat:
+            raise Failure(ENDPOINT_FAILED, f'{head.status} without a promise')
         if head.status < FAILURES_FROM:
             return Attempt(Verdict.RAN, Outcome.DONE, answer=answer)
         return Attempt(
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -114,7 +114,9 @@
         while True:
             if self._parts.suspects.is_refused(job.digest):
                 return self._conclude(Refusal(SUSPECT, Verdict.NOT_RUN))
-            grant = await room.admit(job, self._reserve)
+            grant = await room.admit(
+                job, self._reserve, is_retry=progress.sends > 0
+            )
             if isinstance(grant, Refusal):
                 return self._conclude(grant)
             attempt, step = await self._use(grant)
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -309,6 +309,26 @@
     play(steps)
 
 
+@pytest.mark.parametrize('status', [408, 429, 503])
+def test_a_status_that_promises_too_much_is_not_passed_on(
+    status: int,
+) -> None:
+    """Without the header that says so, the call may have run."""
+
+    async def busy(asked: Asked, writer: Writer) -> None:
+        writer.write(whole_answer(asked, b'busy', status))
+
+    async def steps(fleet: Fleet) -> None:
+        engine = await fleet.add_engine('i-1', 'desk', busy)
+        await fleet.add_engine('i-2', 'desk', busy)
+        answered = await (await fleet.connect()).ask('/l/book/1')
+        assert answered.status == 502
+        assert 'Response-Seal' not in answered.head.headers
+        assert len(engine.asked) <= 1
+
+    play(steps)
+
+
 @pytest.mark.parametrize(
     'behave', [close_at_once, no_seal, rubbish, half_a_body]
 )
--- a/tests/test_serving_admission.py
+++ b/tests/test_serving_admission.py
@@ -111,6 +111,25 @@
     run(steps())
 
 
+def test_a_retry_is_held_as_long_again() -> None:
+    """A cut stream was refused at once, though room came soon after."""
+
+    async def steps() -> None:
+        desk = Desk()
+        desk.free = 0
+        job = job_of('a', arrived_at=desk.loop.time())
+        await asyncio.sleep(2)
+        room = desk.rooms[0]
+        fresh = await room.admit(job, desk.place)
+        assert isinstance(fresh, Refusal)
+        retry = asyncio.create_task(room.admit(job, desk.place, is_retry=True))
+        await asyncio.sleep(0.2)
+        desk.free = 1
+        assert not isinstance(await retry, Refusal)
+
+    run(steps())
+
+
 def test_a_queue_that_can_not_move_in_time_refuses_at_once() -> None:
     async def steps() -> None:
         desk = Desk()
