--- a/src/sesamespoke/serving/placement.py
+++ b/src/sesamespoke/serving/placement.py
@@ -32,9 +32,9 @@
 """What each further request in the batch adds to the first token."""
 PLAIN_CALL_MS = 40.0
 """A plain call's work; each endpoint's pace corrects it."""
-MAX_READING_MS = 250.0
+MAX_READING_MS = 300.0
 """More unread prompts at an engine would make each of them late."""
-BATCH_FRACTION = 0.3
+BATCH_FRACTION = 0.37
 """The part of an engine's slots in use beyond which tokens come slowly."""
 PLAIN_QUEUE = 1.5
 """Requests given to a plain endpoint at once, as a multiple of its slots."""
