--- a/src/sesamespoke/cli_bench.py
+++ b/src/sesamespoke/cli_bench.py
@@ -36,6 +36,7 @@
         'data-centre': f'{PACKAGE}.data_centre',
         'membership': f'{PACKAGE}.membership',
         'rollout': f'{PACKAGE}.rollout',
+        'placing': f'{PACKAGE}.placing',
         'slopes': f'{PACKAGE}.slopes',
     },
 )
