Log the inputs, versions and ages that decided on a request

Cause: the lines on a request's end told the outcome, but not what decided it: the load that the router saw at the endpoint, the version of the configuration, the list of engines and its age.

Change: these facts stand on each such line and on failed attempts; the choice keeps the load that it was made on.

Before: the test of the line's facts fails. After: it passes.

Ruled out: a line for each look at the endpoints (its volume is not bounded by requests).

--- a/src/sesamespoke/platform/main.py
+++ b/src/sesamespoke/platform/main.py
@@ -45,6 +45,7 @@
         sys.exit(EXIT_BAD_SETTINGS)
     asyncio.run(serve(cfg, path))
     sys.stdout.flush()
+    # Everything has been closed; the interpreter's own teardown is skipped.
     os._exit(0)
 
 
--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -18,6 +18,9 @@
 )
 from sesamespoke.serving.shares import ColdGate
 
+MS_PER_SECOND = 1000
+MAX_AGE = 3600.0
+"""Seconds; the age that is told of a list that was never read."""
 SPARE_SECONDS = 0.02
 """How long the list of endpoints with little to do is used."""
 MAX_RANKED = 20_000
@@ -86,6 +89,16 @@
         running = self.loads.begin(endpoint.name, placed.reading)
         return Reservation(placed, running)
 
+    def beliefs(self) -> dict[str, object]:
+        """Return the versions and the age of what decides, for the log."""
+        catalog = self._catalog()
+        age = self._clock() - self._directory.listed_at
+        return {
+            'catalog': catalog.version if catalog else None,
+            'list_revision': self._directory.revision,
+            'list_age_ms': round(min(age, MAX_AGE) * MS_PER_SECOND),
+        }
+
     def is_usable(self, reservation: Reservation) -> bool:
         """Return whether the endpoint may still be sent a request."""
         return self._directory.is_usable(reservation.endpoint)
--- a/src/sesamespoke/serving/placement.py
+++ b/src/sesamespoke/serving/placement.py
@@ -57,12 +57,13 @@
     """An endpoint chosen for a request; times in milliseconds.
 
     ``reading`` is the work of its prompt, ``expected`` the time to the
-    first byte of the answer.
+    first byte of the answer, ``load`` what the endpoint had then.
     """
 
     endpoint: ListedEndpoint
     reading: float
     expected: float
+    load: Load
 
 
 def rank_homes(
@@ -126,7 +127,7 @@
     reading = unread / TOKENS_READ_PER_MS
     work = load.reading + reading + load.running * MS_PER_RUNNING
     expected = (work + BATCH_MS) * candidate.pace
-    return Placed(candidate.endpoint, reading, expected)
+    return Placed(candidate.endpoint, reading, expected, load)
 
 
 def _has_room(
@@ -157,5 +158,5 @@
         expected = PLAIN_CALL_MS * candidate.pace * (1 + queue)
         expected += running / slots
         if best is None or expected < best.expected:
-            best = Placed(candidate.endpoint, 0, expected)
+            best = Placed(candidate.endpoint, 0, expected, candidate.load)
     return best
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -104,6 +104,7 @@
         self._reply = reply
         self._relay = EventRelay()
         self._progress = _Progress()
+        self._placing: dict[str, object] = {}
         self._loop = asyncio.get_running_loop()
 
     async def serve(self) -> Answer | Refusal | None:
@@ -137,6 +138,7 @@
         """Send the request to the endpoint of a grant."""
         parts, job = self._parts, self._job
         self._relay.restart()
+        self._placing = _placing_of(grant)
         exchange = Exchange(
             parts.line, job, grant.endpoint, self._reply, self._relay
         )
@@ -148,7 +150,7 @@
         try:
             attempt = await exchange.run()
         except asyncio.CancelledError:
-            self._log_end('caller_left', None, endpoint=grant.endpoint.name)
+            self._log_end('caller_left', None)
             raise
         finally:
             parts.chooser.release(grant)
@@ -223,6 +225,7 @@
             why=attempt.detail,
             sent=exchange.sent,
             expected_ms=round(grant.placed.expected),
+            **parts.chooser.beliefs(),
         )
 
     def _refusal_after(self, attempt: Attempt) -> Answer | Refusal:
@@ -280,10 +283,25 @@
             sends=progress.sends,
             verdict=progress.verdict.value,
             ms=math.floor(seconds * 1000),
+            waiting=self._parts.rooms(job.service).waiting,
+            **self._placing,
+            **self._parts.chooser.beliefs(),
             **facts,
         )
 
 
+def _placing_of(grant: Reservation) -> dict[str, object]:
+    """Return what decided on an endpoint, as far as one was chosen."""
+    placed = grant.placed
+    return {
+        'endpoint': placed.endpoint.name,
+        'running': placed.load.running,
+        'unread_ms': round(placed.load.reading),
+        'own_unread_ms': round(placed.reading),
+        'expected_ms': round(placed.expected),
+    }
+
+
 def _facts_of(refusal: Refusal) -> dict[str, object]:
     facts: dict[str, object] = {'reason': refusal.reason.code}
     if refusal.retry_after is not None:
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -43,7 +43,7 @@
 budget_window_s = 10
 retry_budget_slack = 58
 [platform]
-address = "10.200.1.7:8781"
+address = "10.9.0.7:8781"
 """
 
 
@@ -52,7 +52,7 @@
     path.write_text(SETTINGS)
     cfg = load_settings(str(path))
     assert not isinstance(cfg, str)
-    assert cfg.store == Address('10.200.1.7', 8781)
+    assert cfg.store == Address('10.9.0.7', 8781)
     assert cfg.serving.callers == Address('10.1.0.33', 8783)
     assert cfg.serving.retries.slack == 58
     assert cfg.serving.stop.longest < 8
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 import pytest
+import structlog
 from support_platform import (
     CHUNKED,
     CONFIG,
@@ -563,6 +564,30 @@
     play(steps)
 
 
+def test_the_end_of_a_request_is_logged_with_what_decided_it() -> None:
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        with structlog.testing.capture_logs() as lines:
+            assert (await (await fleet.connect()).ask('/l/1')).status == 200
+            asked = await (await fleet.connect()).ask('/s/1')
+            assert asked.status == 503
+        answered, refused = (
+            line for line in lines if line.get('request_id') == 'r1'
+        )
+        assert answered['event'] == 'request_answered'
+        assert answered['endpoint'] == 'i-1'
+        assert answered['catalog'] == 7
+        assert answered['list_revision'] > 0
+        assert 0 <= answered['list_age_ms'] < 10_000
+        assert answered['running'] == 0
+        assert refused['event'] == 'request_refused'
+        assert refused['reason'] == 'no_room'
+        assert refused['sends'] == 0
+        assert refused['waiting'] == 0
+
+    play(steps)
+
+
 def test_readiness_and_metrics_are_told_on_ports_of_their_own() -> None:
     async def steps(fleet: Fleet) -> None:
         await fleet.add_engine('i-1', 'desk', answer_well)
