Start the decoders of peer streams with 16 KB instead of 1 MB

Cause: msgpack's unpacker allocates 1 MB and fills it in turn, however short the frames are.

Change: read_size 16 KB; longer frames grow the buffer as before. A test counts what 20 decoders hold after 2,000 frames each (fails at 1 MB each).

Ruled out: the streams themselves (60 KB each in an earlier trial, which sent too little to fill the buffer).

--- a/src/sesamespoke/codec.py
+++ b/src/sesamespoke/codec.py
@@ -30,6 +30,10 @@
 
 MAX_FRAME_BYTES: Final = 2_097_152
 MAX_ROWS: Final = 16_384
+READ_AHEAD_BYTES: Final = 16_384
+"""The buffer that each stream's decoder begins with; longer frames grow it.
+The library's own start of 1 MB is filled in turn, however short the frames
+are, so that a host would hold 1 MB for each peer."""
 
 CODES: Mapping[int, type[msg.Message]] = MappingProxyType(
     {
@@ -207,6 +211,7 @@
         self._has_unknown = False
         self._unpacker = msgpack.Unpacker(
             use_list=False,
+            read_size=READ_AHEAD_BYTES,
             max_buffer_size=MAX_FRAME_BYTES,
             max_array_len=MAX_ROWS,
             max_map_len=0,
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,5 +1,6 @@
 """Frames survive the trip; anything else is refused, in bounded memory."""
 
+import tracemalloc
 from dataclasses import fields
 from typing import Any, get_args, get_type_hints
 
@@ -121,3 +122,17 @@
         codec.encode(SiteCounts('pool', 'h', rows, ()))
     with pytest.raises(ValueError, match='too long'):
         codec.encode(InFlightQuery('x' * 3_000_000, 0))
+
+
+def test_a_stream_of_short_frames_takes_little_memory() -> None:
+    """A host keeps a decoder for each of some hundred peers."""
+    frame = codec.encode(Heartbeat(1, False, 2, 3))
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    decoders = [codec.Decoder() for _ in range(20)]
+    for decoder in decoders:
+        for _ in range(200):
+            assert len(list(decoder.feed(frame * 10))) == 10
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert (after - before) / len(decoders) < 65_536
