Let an overloaded host step out of rotation; ask the store less often

Store: each router chose how long its watch waits while it was alone in its view, hence as a reader, and went on asking every 2 s (24 watches in 8 s from 6 routers).

Change: a host whose event loop runs late is not ready until it has caught up; requests count the lag as time waited; above a quarter of the allowed connections callers are asked to open others, above all of them new ones are closed unread. Lines on requests leave room for lines on changes. The watch's wait is asked each time; hosts are listed by stale reads; engines are listed at 0.4 of the drain's bound; a scan that fails is no empty scan.

--- a/src/sesamespoke/caller_connections.py
+++ b/src/sesamespoke/caller_connections.py
@@ -146,8 +146,13 @@
         conn: HTTP1Connection,
         begin: Begin,
         max_body_bytes: int,
+        waited: float = 0,
     ) -> None:
-        """Prepare to read from a connection."""
+        """Prepare to read from a connection.
+
+        ``waited`` is for how long the request may have lain unread.
+        """
+        self._waited = waited
         self._begin = begin
         self._max_body_bytes = max_body_bytes
         self._conn = conn
@@ -184,7 +189,7 @@
             self._line.path,
             self._headers,
             b''.join(self._parts),
-            asyncio.get_running_loop().time(),
+            asyncio.get_running_loop().time() - self._waited,
         )
         self._begin(call, self._conn)
 
--- a/src/sesamespoke/platform/feeds.py
+++ b/src/sesamespoke/platform/feeds.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from sesamespoke.platform.kv_store import KvStore
+from sesamespoke.platform.kv_store import KvStore, Wait
 from sesamespoke.platform.orders import read_catalog
 from sesamespoke.serving.directory import ListedEndpoint, Listing
 from sesamespoke.serving.ports import BadEntry, Evacuation, Order
@@ -49,7 +49,15 @@
         found = (endpoint for _, endpoint in self._decoded.values())
         return Listing(revision, tuple(filter(None, found)))
 
-    async def watch_orders(self, wait: float) -> AsyncGenerator[Order]:
+    async def list_hosts(
+        self,
+        prefix: str,
+    ) -> tuple[Entry, ...] | StoreUnavailable:
+        """Read the hosts' own entries, by a read that may be seconds old."""
+        listed = await self.store.scan_at(prefix, stale=True)
+        return listed if isinstance(listed, StoreUnavailable) else listed[0]
+
+    async def watch_orders(self, wait: Wait) -> AsyncGenerator[Order]:
         """Yield what operators have ordered, then each change."""
         async for change in self.store.watch(ORDERS, wait):
             if isinstance(change, StoreUnavailable):
--- a/src/sesamespoke/platform/kv_store.py
+++ b/src/sesamespoke/platform/kv_store.py
@@ -7,7 +7,7 @@
 import asyncio
 import base64
 import json
-from collections.abc import AsyncGenerator, Sequence
+from collections.abc import AsyncGenerator, Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -32,8 +32,6 @@
 """The store is a few milliseconds away."""
 ANSWER_SECONDS = 1.0
 """An answer takes some milliseconds, and more on the platform's bad days."""
-WATCH_SECONDS = 2.0
-"""How long a watch waits for changes; then its silence means none."""
 PAUSE_SECONDS = 0.25
 """The pause before a store is asked again that did not answer."""
 MAX_PARALLEL_CALLS = 10
@@ -45,6 +43,8 @@
 REFUSED = frozenset((429, 503))
 
 Page = tuple[tuple[Entry, ...], int]
+Wait = Callable[[], float]
+"""Returns for how many seconds the next watch waits for a change."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +126,7 @@
     async def watch(
         self,
         prefix: str,
-        wait: float = WATCH_SECONDS,
+        wait: Wait,
     ) -> AsyncGenerator[Entry | Absent | StoreUnavailable]:
         """Yield what stands below a prefix, then each change of it.
 
@@ -158,17 +158,20 @@
         self,
         prefix: str,
         revision: int,
-        wait: float,
+        wait: Wait,
     ) -> AsyncGenerator[Entry | Absent | StoreUnavailable]:
         """Yield changes until the history has a gap or the store is away."""
         while True:
+            seconds = wait()
             query = _query(
                 prefix=prefix,
                 after_revision=revision,
-                wait_ms=round(wait * MS_PER_SECOND),
+                wait_ms=round(seconds * MS_PER_SECOND),
             )
             path = f'/v1/kv-watch?{query}'
-            reply = await self._call('GET', path, timeout=wait + ANSWER_SECONDS)
+            reply = await self._call(
+                'GET', path, timeout=seconds + ANSWER_SECONDS
+            )
             if isinstance(reply, StoreUnavailable):
                 yield reply
                 await asyncio.sleep(PAUSE_SECONDS)
@@ -181,16 +184,27 @@
                     yield change
             revision = max(revision, _revision_of(reply.content))
 
-    async def scan_at(self, prefix: str) -> Page | StoreUnavailable:
-        """Return all entries below a prefix, and the first page's revision."""
+    async def scan_at(
+        self,
+        prefix: str,
+        *,
+        stale: bool = False,
+    ) -> Page | StoreUnavailable:
+        """Return all entries below a prefix, and the first page's revision.
+
+        A ``stale`` read costs the store less and may be seconds old.
+        """
+        options = {'serializable': 1} if stale else {}
         entries: list[Entry] = []
         revision = 0
         after = ''
         while True:
-            query = _query(prefix=prefix, **_after(after))
+            query = _query(prefix=prefix, **options, **_after(after))
             reply = await self._call('GET', f'/v1/kv-range?{query}')
             if isinstance(reply, StoreUnavailable):
                 return reply
+            if reply.status != OK:
+                return StoreUnavailable(f'status {reply.status}')
             page = _read_entries(reply.content)
             entries.extend(page)
             revision = revision or _revision_of(reply.content)
--- a/src/sesamespoke/platform/settings.py
+++ b/src/sesamespoke/platform/settings.py
@@ -6,15 +6,29 @@
 from pathlib import Path
 from typing import Any
 
-from sesamespoke.serving.settings import ServingSettings, StopSettings
+from sesamespoke.serving.settings import (
+    FeedSettings,
+    ServingSettings,
+    StopSettings,
+)
 from sesamespoke.serving.shares import RetryBounds
 from sesamespoke.settings import Address
 
+MS_PER_SECOND = 1000
 SETTINGS_VARIABLE = 'SESAMESPOKE_SETTINGS'
 METRICS_PORT = 9464
 """The port that the deploy file names for metrics."""
 STOP_FRACTION = 0.93
 """The part of the grace period that a stop may use before the kill."""
+CALLERS_FRACTION = 0.5
+"""The part of the descriptors that callers' connections may take; endpoints,
+peers and files share the rest."""
+DESCRIPTORS = 4096
+"""Descriptors of a process, where the file names no limit."""
+LIST_FRACTION = 0.4
+"""The part of a drain's bound in which the engines are listed anew: a list
+may fail once, and the next one still comes in time."""
+MAX_LIST_SECONDS = 2.0
 NOTICE_SECONDS = 3.0
 """Two misses of a readiness probe each second, and one to spare."""
 
@@ -42,6 +56,9 @@
     listens = fields['listen_addresses']
     bounds = fields.get('bounds', {})
     ip = fields['ip_address']
+    limits = fields.get('limits', {})
+    drain = float(bounds.get('drain_timeout_ms', 2000)) / MS_PER_SECOND
+    descriptors = int(limits.get('file_descriptors') or DESCRIPTORS)
     longest = float(bounds.get('grace_period_s', 8)) * STOP_FRACTION
     serving = ServingSettings(
         fields['node_name'],
@@ -57,6 +74,10 @@
             float(bounds.get('retry_budget_slack', 10)),
         ),
         stop=StopSettings(min(NOTICE_SECONDS, longest / 2), longest),
+        feeds=FeedSettings(
+            endpoints=min(MAX_LIST_SECONDS, drain * LIST_FRACTION),
+        ),
+        max_callers=max(1, int(descriptors * CALLERS_FRACTION)),
     )
     return PlatformSettings(
         serving, read_address(fields['platform']['address'])
--- a/src/sesamespoke/request_server.py
+++ b/src/sesamespoke/request_server.py
@@ -12,7 +12,7 @@
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
 from sesamespoke.answers import Answer, refusal_answer
@@ -28,6 +28,10 @@
 IDLE_SECONDS = 120
 BODY_SECONDS = 60
 LISTEN_BACKLOG = 1024
+MAX_CONNECTIONS = 100_000
+KEPT_FRACTION = 0.25
+"""The part of the allowed connections above which no caller is let use its
+connection again: a caller that opens one for each request fills the rest."""
 
 ResultT = TypeVar('ResultT')
 Ended = Answer | Refusal | None
@@ -40,11 +44,34 @@
     """Where a server listens, and how it answers.
 
     With ``whole_seconds`` a ``Retry-After`` is rounded up, as the HTTP
-    standard asks; else it keeps its fraction.
+    standard asks; else it keeps its fraction. A connection above
+    ``max_connections`` is closed before anything is read from it.
     """
 
     address: Address
     whole_seconds: bool = True
+    max_connections: int = MAX_CONNECTIONS
+
+
+class BoundedServer(HTTPServer):
+    """An HTTP server with a bound of open connections."""
+
+    max_connections = MAX_CONNECTIONS
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve a connection, or close it if there are too many.
+
+        Nothing is read, so that the caller knows that nothing was run.
+        """
+        if len(self._connections) >= self.max_connections:
+            stream.close()
+            return
+        super().handle_stream(stream, address)
+
+    @property
+    def is_crowded(self) -> bool:
+        """Return whether idle connections should make room."""
+        return len(self._connections) > self.max_connections * KEPT_FRACTION
 
 
 class RequestServer(HTTPServerConnectionDelegate):
@@ -56,7 +83,7 @@
         self._server_cfg = cfg
         self._metrics = metrics
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._server = HTTPServer(
+        self._server = BoundedServer(
             self,
             idle_connection_timeout=IDLE_SECONDS,
             body_timeout=BODY_SECONDS,
@@ -64,6 +91,7 @@
             max_buffer_size=MAX_BUFFER_BYTES,
             chunk_size=CHUNK_BYTES,
         )
+        self._server.max_connections = cfg.max_connections
 
     @property
     def active(self) -> int:
@@ -95,7 +123,12 @@
         request_conn: HTTP1Connection,  # type: ignore[override]
     ) -> HTTPMessageDelegate:
         """Return the reader of a connection's next request."""
-        return Inbound(request_conn, self.begin, self.max_body_bytes())
+        return Inbound(
+            request_conn,
+            self.begin,
+            self.max_body_bytes(),
+            self.waited(),
+        )
 
     def begin(self, call: Call, conn: HTTP1Connection) -> None:
         """Start the task that serves one request."""
@@ -119,6 +152,10 @@
         """Return whether callers may use a connection again."""
         raise NotImplementedError
 
+    def waited(self) -> float:
+        """Return for how long a request may have lain unread, in seconds."""
+        return 0
+
     async def respond(self, call: Call, reply: ConnectionReply) -> Ended:
         """Return what ends a call; None if all of it was passed on."""
         raise NotImplementedError
@@ -133,7 +170,7 @@
         reply.cut()
 
     async def _serve(self, call: Call, conn: HTTP1Connection) -> None:
-        keeps = self.keeps_connections()
+        keeps = self.keeps_connections() and not self._server.is_crowded
         reply = ConnectionReply(conn, call.request_id, keeps=keeps)
         try:
             await self._answer(call, reply)
--- a/src/sesamespoke/serving/following.py
+++ b/src/sesamespoke/serving/following.py
@@ -133,9 +133,8 @@
                 return
 
     async def _watch_orders(self, store: Dependency) -> None:
-        feeds = self._cfg.feeds
-        wait = feeds.watch if self._news.is_reader() else feeds.quiet_watch
-        async with aclosing(self._feeds.watch_orders(wait)) as orders:
+        changes = self._feeds.watch_orders(self._watch_seconds)
+        async with aclosing(changes) as orders:
             async for order in orders:
                 if isinstance(order, StoreUnavailable):
                     store.note(order)
@@ -143,6 +142,10 @@
                 store.note(None)
                 self._obey(order)
 
+    def _watch_seconds(self) -> float:
+        feeds = self._cfg.feeds
+        return feeds.watch if self._news.is_reader() else feeds.quiet_watch
+
     def _ask_anew(self) -> None:
         """Read the orders again: a peer has others in force."""
         now = asyncio.get_running_loop().time()
@@ -227,7 +230,7 @@
 
     async def _follow_hosts(self) -> None:
         while True:
-            listed = await self._feeds.store.scan(HOST_PREFIX)
+            listed = await self._feeds.list_hosts(HOST_PREFIX)
             if not isinstance(listed, StoreUnavailable):
                 rows = [row for row in map(_read_host, listed) if row]
                 self._hosts.take({'entry_hosts': rows})
--- a/src/sesamespoke/serving/load.py
+++ b/src/sesamespoke/serving/load.py
@@ -86,7 +86,7 @@
     def total(self, endpoint: str) -> Load:
         """Return an endpoint's load as far as it is known."""
         if self._clock() >= self._refresh_at:
-            self._sum_reports()
+            self._drop_stale()
         own = self._own.get(endpoint)
         others = self._peers.get(endpoint)
         if own is None and others is None:
@@ -108,26 +108,35 @@
 
     def take(self, host: str, rows: tuple[LoadRow, ...]) -> None:
         """Replace what a peer reported before."""
+        self.forget(host)
         loads = {
             endpoint: Load(running, reading)
             for endpoint, running, reading in rows
         }
         self._reports[host] = _Report(self._clock(), loads)
-        self._refresh_at = 0
+        self._add(loads, 1)
 
     def forget(self, host: str) -> None:
         """Drop the report of a peer that has gone."""
-        if self._reports.pop(host, None) is not None:
-            self._refresh_at = 0
-
-    def _sum_reports(self) -> None:
+        report = self._reports.pop(host, None)
+        if report is not None:
+            self._add(report.loads, -1)
+
+    def _add(self, loads: Mapping[str, Load], sign: int) -> None:
+        for endpoint, load in loads.items():
+            part = self._peers.setdefault(endpoint, _Sum())
+            part.running += sign * load.running
+            part.reading += sign * load.reading
+            if not part.running:
+                del self._peers[endpoint]
+
+    def _drop_stale(self) -> None:
         now = self._clock()
         self._refresh_at = now + REFRESH_SECONDS
-        self._peers = {}
-        for report in self._reports.values():
-            if report.taken_at < now - STALE_SECONDS:
-                continue
-            for endpoint, load in report.loads.items():
-                part = self._peers.setdefault(endpoint, _Sum())
-                part.running += load.running
-                part.reading += load.reading
+        stale = [
+            host
+            for host, report in self._reports.items()
+            if report.taken_at < now - STALE_SECONDS
+        ]
+        for host in stale:
+            self.forget(host)
--- a/src/sesamespoke/serving/log_lines.py
+++ b/src/sesamespoke/serving/log_lines.py
@@ -1,4 +1,8 @@
-"""Structured log lines on standard output: bounded, and never blocking."""
+"""Structured log lines on standard output: bounded, and never blocking.
+
+Lines on single requests come in the number of requests; they leave room for
+the lines on changes, which are few and explain the others.
+"""
 
 import asyncio
 import os
@@ -7,14 +11,41 @@
 from contextlib import suppress
 
 import structlog
+from structlog.typing import EventDict
 
 LINES_PER_SECOND = 400
 """Lines that are written; what a process decides above that is counted."""
 BURST_LINES = 800
+REQUEST_LINES_PER_SECOND = 300
+REQUEST_BURST_LINES = 600
+"""What lines on requests may take of that."""
 MAX_KEPT_BYTES = 1_048_576
 """What is kept for a reader that is too slow; newer lines are dropped."""
 
 
+class _Allowance:
+    """A bound of lines a second, with some ahead."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        """Start with all that may come ahead."""
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._filled_at: float = 0
+        self._loop = asyncio.get_running_loop()
+
+    def take(self) -> bool:
+        """Return whether one more line may be written."""
+        now = self._loop.time()
+        gained = (now - self._filled_at) * self._rate
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
 class LineWriter:
     """Writes lines to a descriptor, as fast as its reader takes them."""
 
@@ -24,8 +55,10 @@
         self._lines: deque[bytes] = deque()
         self._kept = 0
         self._dropped = 0
-        self._tokens: float = BURST_LINES
-        self._filled_at: float = 0
+        self._allowed = _Allowance(LINES_PER_SECOND, BURST_LINES)
+        self._for_requests = _Allowance(
+            REQUEST_LINES_PER_SECOND, REQUEST_BURST_LINES
+        )
         self._loop = asyncio.get_running_loop()
         self._armed = False
         if not os.isatty(fd):
@@ -34,7 +67,7 @@
 
     def msg(self, line: str) -> None:
         """Queue a line, or count it as dropped."""
-        if not self._take_token() or self._kept > MAX_KEPT_BYTES:
+        if self._kept > MAX_KEPT_BYTES or not self._allowed.take():
             self._dropped += 1
             return
         if self._dropped:
@@ -79,15 +112,17 @@
             self._armed = True
             self._loop.call_later(delay, self.flush)
 
-    def _take_token(self) -> bool:
-        now = self._loop.time()
-        gained = (now - self._filled_at) * LINES_PER_SECOND
-        self._tokens = min(BURST_LINES, self._tokens + gained)
-        self._filled_at = now
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+    def leave_out(
+        self, logger: object, method: str, facts: EventDict
+    ) -> EventDict:
+        """Drop a line on a request before it is rendered, if there are many.
+
+        A processor of structlog.
+        """
+        if 'request_id' in facts and not self._for_requests.take():
+            self._dropped += 1
+            raise structlog.DropEvent
+        return facts
 
 
 def open_log() -> LineWriter:
@@ -95,6 +130,7 @@
     writer = LineWriter(sys.stdout.fileno())
     structlog.configure(
         processors=[
+            writer.leave_out,
             structlog.processors.add_log_level,
             structlog.processors.format_exc_info,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
--- a/src/sesamespoke/serving/ports.py
+++ b/src/sesamespoke/serving/ports.py
@@ -1,12 +1,12 @@
 """What the serving side asks of the platform; adapters implement it."""
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from sesamespoke.serving.catalog import Catalog
 from sesamespoke.serving.directory import Listing
-from sesamespoke.store import KeyStore, StoreUnavailable
+from sesamespoke.store import Entry, KeyStore, StoreUnavailable
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,8 +40,17 @@
     ) -> Listing | StoreUnavailable:
         """Read the endpoints that are listed now."""
 
-    def watch_orders(self, wait: float) -> AsyncGenerator[Order]:
+    async def list_hosts(
+        self,
+        prefix: str,
+    ) -> tuple[Entry, ...] | StoreUnavailable:
+        """Read the hosts' own entries, as of some seconds ago."""
+
+    def watch_orders(
+        self,
+        wait: Callable[[], float],
+    ) -> AsyncGenerator[Order]:
         """Yield what operators have ordered, then each change.
 
-        The platform is asked anew every ``wait`` seconds without a change.
+        The platform is asked anew every ``wait()`` seconds without a change.
         """
--- /dev/null
+++ b/src/sesamespoke/serving/pressure.py
@@ -0,0 +1,64 @@
+"""Whether this host keeps up with what comes to it.
+
+The load it answers: one caller that sends hundreds of requests a second. The
+balancer ties a caller to a host, so that this host alone is out of processor
+time; its requests wait unread until their callers give up, and everybody
+else's with them. A host that runs late says that it is not ready, and the
+balancer gives new connections to others until it has caught up.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from sesamespoke.serving.serving_call import Log
+
+TICK_SECONDS = 0.05
+LATE_SECONDS = 0.15
+"""A loop that is so late makes callers wait longer than they notice."""
+LATE_TICKS = 6
+"""Late ticks in a row: one alone is a pause of the host."""
+CALM_SECONDS = 0.03
+CALM_TICKS = 40
+"""Ticks in time before the host is ready again: two seconds, in which the
+balancer has taken it out of rotation."""
+SMOOTHING = 0.3
+"""Weight of the newest tick in the lag."""
+
+
+class LoopPressure:
+    """How late the event loop is, and whether that goes on."""
+
+    def __init__(self, log: Log, active: Callable[[], int]) -> None:
+        """Assume that the host keeps up; ``active`` is told in the log."""
+        self.lag: float = 0
+        self.is_late = False
+        self._log = log
+        self._active = active
+        self._late_ticks = 0
+        self._calm_ticks = 0
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_at = loop.time() + TICK_SECONDS
+            await asyncio.sleep(TICK_SECONDS)
+            self.note(max(0, loop.time() - due_at))
+
+    def note(self, late: float) -> None:
+        """Take into account how late one tick was, in seconds."""
+        self.lag += SMOOTHING * (late - self.lag)
+        self._late_ticks = self._late_ticks + 1 if late >= LATE_SECONDS else 0
+        self._calm_ticks = self._calm_ticks + 1 if late <= CALM_SECONDS else 0
+        if not self.is_late and self._late_ticks >= LATE_TICKS:
+            self._turn(late=True)
+        elif self.is_late and self._calm_ticks >= CALM_TICKS:
+            self._turn(late=False)
+
+    def _turn(self, *, late: bool) -> None:
+        self.is_late = late
+        self._log(
+            'host_overloaded' if late else 'host_caught_up',
+            lag_ms=round(self.lag * 1000),
+            active=self._active(),
+        )
--- a/src/sesamespoke/serving/routed_server.py
+++ b/src/sesamespoke/serving/routed_server.py
@@ -28,6 +28,7 @@
 
     While it ``keeps`` connections, callers may use them again; once it has
     ``closed``, requests on connections that are still open are refused.
+    ``lag`` is how late the event loop is, in seconds.
     """
 
     serving: ServingParts
@@ -35,6 +36,7 @@
     read_head: ReadHead
     keeps: Callable[[], bool]
     closed: Callable[[], bool]
+    lag: Callable[[], float] = float
 
 
 class RoutedServer(RequestServer):
@@ -55,6 +57,10 @@
         """Return whether callers may use a connection again."""
         return self._parts.keeps()
 
+    def waited(self) -> float:
+        """Return for how long a request may have lain unread, in seconds."""
+        return self._parts.lag()
+
     async def respond(self, call: Call, reply: ConnectionReply) -> Ended:
         """Return what ends a call; None if all of it was passed on."""
         if self._parts.closed():
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -10,7 +10,6 @@
 from sesamespoke.endpoint_connections import ConnectionPool, PoolSettings
 from sesamespoke.metrics import Metrics
 from sesamespoke.peers import PeerStreams
-from sesamespoke.quarantine import Quarantine
 from sesamespoke.request_server import ServerSettings
 from sesamespoke.serving.admission import WaitingRoom
 from sesamespoke.serving.chooser import Chooser, Reservation
@@ -22,16 +21,17 @@
 from sesamespoke.serving.news import News
 from sesamespoke.serving.peer_loads import PeerLoads
 from sesamespoke.serving.ports import Feeds
+from sesamespoke.serving.pressure import LoopPressure
 from sesamespoke.serving.routed_server import (
     PageServer,
     RoutedServer,
     ServerParts,
 )
 from sesamespoke.serving.serving_call import ServingParts
-from sesamespoke.serving.settings import ServingSettings
+from sesamespoke.serving.settings import ServingSettings, peer_settings
 from sesamespoke.serving.shares import RetryShare
 from sesamespoke.serving.stopping import PlannedStop
-from sesamespoke.settings import Settings, StoreSettings
+from sesamespoke.serving.suspects import SharedSuspects
 from sesamespoke.timeline import Timeline
 
 POOL = PoolSettings(
@@ -40,31 +40,9 @@
     unacknowledged_ms=2000,
 )
 """An endpoint of the region answers in milliseconds or not at all."""
-CRASHES_TO_REFUSE = 3
-"""Endpoints that one request may break before it is refused."""
 log = structlog.get_logger()
 
 
-class SharedSuspects:
-    """Requests that crash endpoints, as all routers have seen them."""
-
-    def __init__(self, quarantine: Quarantine, host: str) -> None:
-        """Use the record that is kept in step with the peers'."""
-        self._quarantine = quarantine
-        self._host = host
-        self._count = 0
-
-    def is_refused(self, digest: bytes) -> bool:
-        """Return whether a request is not to be sent any more."""
-        return len(self._quarantine.crashed(digest)) >= CRASHES_TO_REFUSE
-
-    def note_crash(self, digest: bytes, endpoint: str) -> None:
-        """Record a crash; each counts, also of the same endpoint."""
-        self._count += 1
-        mark = f'{endpoint} {self._host} {self._count}'
-        self._quarantine.note_crash(digest, mark)
-
-
 class RoutedRouter:
     """The parts of one router and the order in which they start and stop."""
 
@@ -81,7 +59,7 @@
         self.metrics = Metrics(cfg.host)
         self.timeline = Timeline(cfg.host, cfg.data_centre)
         self.peers = PeerStreams(
-            _peer_settings(cfg), self.metrics, self.timeline
+            peer_settings(cfg), self.metrics, self.timeline
         )
         self.directory = Directory(self._clock)
         self.follower = Follower(
@@ -109,27 +87,33 @@
         )
         self._budgets: dict[str, RetryShare] = {}
         self.pool = ConnectionPool(POOL)
-        quarantine = Quarantine(self.peers, self.metrics, self.timeline)
+        suspects = SharedSuspects(self.peers, self.metrics, self.timeline)
         serving = ServingParts(
             Line(self.pool, names),
             self.chooser,
             self._room,
             self._budget,
-            SharedSuspects(quarantine, cfg.host),
+            suspects,
             self.metrics,
             log.info,
         )
         self.server = RoutedServer(
-            ServerSettings(cfg.callers, whole_seconds=False),
+            ServerSettings(
+                cfg.callers,
+                whole_seconds=False,
+                max_connections=cfg.max_callers,
+            ),
             ServerParts(
                 serving,
                 lambda: self.follower.orders.catalog,
                 read_head,
                 keeps=lambda: not self.stop.is_asked,
                 closed=lambda: self.stop.closed,
+                lag=lambda: self.pressure.lag,
             ),
         )
         self.stop = PlannedStop(cfg.stop, lambda: self.server.active, log.info)
+        self.pressure = LoopPressure(log.info, lambda: self.server.active)
         self.pages = (
             PageServer(cfg.ready, self._tell_ready),
             PageServer(cfg.metrics, self._tell_metrics),
@@ -146,7 +130,7 @@
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
         knows = self.follower.orders.catalog is not None
-        return knows and not self.stop.is_asked
+        return knows and not (self.stop.is_asked or self.pressure.is_late)
 
     def count_routers(self) -> int:
         """Return how many routers may share a bound, seen or listed."""
@@ -163,6 +147,7 @@
         self._tasks = [
             *self.follower.tasks(),
             asyncio.create_task(self.loads.run()),
+            asyncio.create_task(self.pressure.run()),
         ]
         log.info('started', host=self.cfg.host, zone=self.cfg.data_centre)
         await self.stop.run(self._close)
@@ -206,15 +191,3 @@
     def _tell_metrics(self, request: HTTPServerRequest) -> Answer:
         rows = (('Content-Type', 'text/plain; version=0.0.4'),)
         return Answer(200, rows, self.metrics.scrape())
-
-
-def _peer_settings(cfg: ServingSettings) -> Settings:
-    """Return what the peer streams need; they span the region."""
-    return Settings(
-        host=cfg.host,
-        data_centre=cfg.region,
-        callers=cfg.callers,
-        admin=cfg.metrics,
-        peers=cfg.peers,
-        store=StoreSettings(urls=()),
-    )
--- a/src/sesamespoke/serving/settings.py
+++ b/src/sesamespoke/serving/settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from sesamespoke.serving.shares import RetryBounds
-from sesamespoke.settings import Address
+from sesamespoke.settings import Address, Settings, StoreSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +32,7 @@
     hosts: float = 5.0
     quiet_hosts: float = 20.0
     watch: float = 2.0
-    quiet_watch: float = 8.0
+    quiet_watch: float = 20.0
     lease: float = 10.0
 
 
@@ -41,7 +41,8 @@
     """Everything that one process learns before it starts.
 
     ``region`` is the part of the fleet whose routers tell each other their
-    loads; ``peers`` is the address for that.
+    loads; ``peers`` is the address for that. ``max_callers`` bounds the
+    open connections of callers.
     """
 
     host: str
@@ -54,3 +55,16 @@
     retries: RetryBounds = RetryBounds()
     stop: StopSettings = StopSettings()
     feeds: FeedSettings = field(default_factory=FeedSettings)
+    max_callers: int = 2000
+
+
+def peer_settings(cfg: ServingSettings) -> Settings:
+    """Return what the peer streams need; they span the region."""
+    return Settings(
+        host=cfg.host,
+        data_centre=cfg.region,
+        callers=cfg.callers,
+        admin=cfg.metrics,
+        peers=cfg.peers,
+        store=StoreSettings(urls=()),
+    )
--- a/tests/support_platform.py
+++ b/tests/support_platform.py
@@ -42,6 +42,7 @@
     drop_history: bool = False
     page: int = 500
     calls: list[str] = field(default_factory=list)
+    queries: list[dict[str, str]] = field(default_factory=list)
 
     def start(self) -> Address:
         sock, port = bind_unused_port()
@@ -98,6 +99,7 @@
             send(request, self.refuse_with, {})
             return
         query = {key: rows[0] for key, rows in parse_qs(parts.query).items()}
+        self.queries.append(query)
         body = json.loads(request.body) if request.body else {}
         name = parts.path.removeprefix('/v1/').partition('/')[0]
         handle: Callable[..., Awaitable[Answer]] = getattr(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,7 +1,8 @@
 """The store's client against a stand-in of the platform's service."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import AsyncGenerator, Awaitable, Callable
 
 import pytest
 from support_platform import CONFIG, StoreStandIn
@@ -64,6 +65,51 @@
     play(steps)
 
 
+@pytest.mark.parametrize('status', [400, 404, 500, 503])
+def test_a_scan_that_fails_is_not_an_empty_one(status: int) -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        stand_in.put('p/1', b'x')
+        stand_in.refuse_with = status
+        assert isinstance(await store.scan('p/'), StoreUnavailable)
+
+    play(steps)
+
+
+def test_hosts_are_read_by_stale_reads_and_engines_are_not() -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        feeds = PlatformFeeds(store)
+        stand_in.put('hosts/1', b'x')
+        hosts = await feeds.list_hosts('hosts/')
+        assert not isinstance(hosts, StoreUnavailable)
+        assert [entry.key for entry in hosts] == ['hosts/1']
+        assert stand_in.queries[-1]['serializable'] == '1'
+        await feeds.list_endpoints()
+        assert 'serializable' not in stand_in.queries[-1]
+
+    play(steps)
+
+
+def test_a_watch_waits_as_long_as_it_is_told_each_time() -> None:
+    """Routers began as readers and went on asking as often as these."""
+
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        waits = iter((0.05, 0.1, 0.15))
+        task = asyncio.create_task(_exhaust(store.watch('p/', waits.__next__)))
+        await asyncio.wait((task,), timeout=10)
+        asked = [
+            query['wait_ms'] for query in stand_in.queries if 'wait_ms' in query
+        ]
+        assert asked == ['50', '100', '150']
+
+    play(steps)
+
+
+async def _exhaust(changes: AsyncGenerator[object]) -> None:
+    with contextlib.suppress(RuntimeError):
+        async for _ in changes:
+            pass
+
+
 def test_a_lease_holds_keys_and_tells_when_it_has_ended() -> None:
     async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
         lease = await store.grant_lease(5)
@@ -105,7 +151,7 @@
 
 
 async def follow(store: KvStore, orders: asyncio.Queue[Order]) -> None:
-    async for order in PlatformFeeds(store).watch_orders(2):
+    async for order in PlatformFeeds(store).watch_orders(lambda: 2):
         orders.put_nowait(order)
 
 
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -47,6 +47,20 @@
 """
 
 
+def test_bounds_and_limits_set_how_often_lists_are_read_and_who_connects(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / 'settings.toml'
+    bounds = SETTINGS.replace(
+        'grace_period_s = 8', 'grace_period_s = 8\ndrain_timeout_ms = 3000'
+    )
+    path.write_text(f'{bounds}[limits]\nfile_descriptors = 4100\n')
+    cfg = load_settings(str(path))
+    assert not isinstance(cfg, str)
+    assert 2 * cfg.serving.feeds.endpoints < 3
+    assert 1000 < cfg.serving.max_callers < 4100 - 200
+
+
 def test_settings_are_read_and_unknown_fields_ignored(tmp_path: Path) -> None:
     path = tmp_path / 'settings.toml'
     path.write_text(SETTINGS)
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -29,7 +29,9 @@
 from sesamespoke.platform.feeds import PlatformFeeds
 from sesamespoke.platform.headers import NAMES, read_head
 from sesamespoke.platform.kv_store import KvStore
+from sesamespoke.request_server import KEPT_FRACTION
 from sesamespoke.serving.directory import Directory
+from sesamespoke.serving.pressure import LATE_TICKS
 from sesamespoke.serving.router import RoutedRouter
 from sesamespoke.serving.settings import (
     FeedSettings,
@@ -51,6 +53,7 @@
     RetryBounds(0.2, 10, 58),
     StopSettings(notice=0.3, longest=2),
     FeedSettings(endpoints=0.05, hosts=0.05, lease=5),
+    max_callers=40,
 )
 PATIENCE_SECONDS = 10
 
@@ -610,6 +613,51 @@
     play(steps)
 
 
+def test_an_overloaded_host_is_not_ready_but_serves_on() -> None:
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        ready = fleet.router.pages[0].port
+        for _ in range(LATE_TICKS):
+            fleet.router.pressure.note(1)
+        assert (await fetch(ready)).status == 503
+        assert (await (await fleet.connect()).ask('/l/1')).status == 200
+
+    play(steps)
+
+
+def test_a_connection_too_many_is_closed_unread_and_later_ones_are_served() -> (
+    None
+):
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        callers = [await fleet.connect() for _ in range(CFG.max_callers)]
+        late = await fleet.connect()
+        with pytest.raises(ConnectionError):
+            await late.ask('/l/1')
+        assert not fleet.engines['i-1'].asked
+        assert (await callers[0].ask('/l/1')).status == 200
+        assert not await callers[0].reader.read()
+        assert (await (await fleet.connect()).ask('/l/1')).status == 200
+
+    play(steps)
+
+
+def test_many_connections_are_not_kept() -> None:
+    """One caller's idle connections took all descriptors of a host."""
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        callers = [await fleet.connect() for _ in range(CFG.max_callers)]
+        kept = 0
+        for caller in callers:
+            answered = await caller.ask('/l/1')
+            assert answered.status == 200
+            kept += answered.head.headers.get('Connection') != 'close'
+        assert kept <= CFG.max_callers * KEPT_FRACTION
+
+    play(steps)
+
+
 async def fetch(port: int) -> Answered:
     caller = Caller(*await asyncio.open_connection('127.0.0.1', port))
     caller.send('/v1/readiness')
--- /dev/null
+++ b/tests/test_serving_loads.py
@@ -0,0 +1,88 @@
+"""Loads of all routers add up to what each of them reported last."""
+
+import random
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+from support_serving_jobs import Clock
+
+from sesamespoke.serving.load import (
+    REFRESH_SECONDS,
+    STALE_SECONDS,
+    Load,
+    LoadBook,
+    LoadRow,
+    Running,
+)
+
+HOSTS = st.sampled_from(('north-1', 'north-2', 'south-1'))
+ENGINES = ('e-1', 'e-2', 'e-3')
+REPORTS = st.dictionaries(
+    st.sampled_from(ENGINES),
+    st.tuples(st.integers(1, 40), st.integers(0, 900)),
+)
+
+
+class Loads(RuleBasedStateMachine):
+    """Plays reports, silence and own requests against plain sums."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = Clock()
+        self.book = LoadBook(self.clock)
+        self.reported: dict[str, tuple[float, tuple[LoadRow, ...]]] = {}
+        self.own: list[Running] = []
+
+    @rule(host=HOSTS, report=REPORTS)
+    def take(self, host: str, report: dict[str, tuple[int, int]]) -> None:
+        rows = tuple((name, *row) for name, row in report.items())
+        self.book.take(host, rows)
+        self.reported[host] = (self.clock.now, rows)
+
+    @rule(host=HOSTS)
+    def lose(self, host: str) -> None:
+        self.book.forget(host)
+        self.reported.pop(host, None)
+
+    @rule(seconds=st.floats(0.01, 2))
+    def wait(self, seconds: float) -> None:
+        self.clock.now += seconds
+
+    @rule(name=st.sampled_from(ENGINES), reading=st.integers(0, 300))
+    def begin(self, name: str, reading: int) -> None:
+        self.own.append(self.book.begin(name, reading))
+
+    @rule(dice=st.randoms(use_true_random=False))
+    def end(self, dice: random.Random) -> None:
+        if self.own:
+            index = dice.randrange(len(self.own))
+            self.book.end(self.own.pop(index))
+
+    @invariant()
+    def adds_up(self) -> None:
+        for name in ENGINES:
+            found = self.book.total(name)
+            fresh = self.sum_reports(name, STALE_SECONDS)
+            kept = self.sum_reports(name, STALE_SECONDS + REFRESH_SECONDS)
+            assert fresh.running <= found.running <= kept.running
+            assert fresh.reading <= found.reading <= kept.reading
+
+    def sum_reports(self, name: str, age: float) -> Load:
+        own = [each for each in self.own if each.endpoint == name]
+        rows = [
+            row
+            for taken_at, rows in self.reported.values()
+            for row in rows
+            if row[0] == name and taken_at >= self.clock.now - age
+        ]
+        return Load(
+            len(own) + sum(row[1] for row in rows),
+            sum(each.reading for each in own) + sum(row[2] for row in rows),
+        )
+
+
+TestLoads = Loads.TestCase
--- a/tests/test_serving_log_lines.py
+++ b/tests/test_serving_log_lines.py
@@ -1,12 +1,16 @@
 """Log lines: bounded, and never waiting for their reader."""
 
 import asyncio
+import contextlib
 import json
 import os
 
+import structlog
+
 from sesamespoke.serving.log_lines import (
     BURST_LINES,
     MAX_KEPT_BYTES,
+    REQUEST_BURST_LINES,
     LineWriter,
 )
 
@@ -34,6 +38,29 @@
     asyncio.run(steps())
 
 
+def test_lines_on_requests_leave_room_for_lines_on_changes() -> None:
+    """What told of an overloaded host was left out with the rest."""
+
+    async def steps() -> None:
+        _, fd = os.pipe()
+        writer = LineWriter(fd)
+        passed = 0
+        for number in range(5000):
+            with contextlib.suppress(structlog.DropEvent):
+                writer.leave_out(None, 'info', {'request_id': f'{number}'})
+                writer.msg('on a request')
+                passed += 1
+        assert REQUEST_BURST_LINES <= passed < BURST_LINES
+        facts = {'event': 'host_overloaded'}
+        assert writer.leave_out(None, 'info', facts) == facts
+        before = len(writer._lines)
+        writer.msg('on a change')
+        assert writer._lines[-1] == b'on a change\n'
+        assert len(writer._lines) > before
+
+    asyncio.run(steps())
+
+
 def test_a_reader_that_is_stuck_holds_nobody_up() -> None:
     async def steps() -> None:
         reader, fd = os.pipe()
