Fetch beginnings from the engine that keeps them; shed what a host can't read

Change: an engine that is not the home is told the engine that keeps the beginning (first in rank, also one that is leaving, listed for 4 s at least) and fetches it; where the operators' figures tell no link, it reads again as before. Heavy beginnings go elsewhere up to half of an engine's room; a copy counts 5 times its reading against waiting. A host whose loop lags by 0.12 s closes new connections unread; a crowded one closes after the answer. The log writes on after a part was taken (8 KB a turn hid the overloaded host).

Found: a caller that ignores 'Connection: close' kept its connection on a crowded host (test hung); a test of the connection bound met the real lag of a busy machine: tests now set the lag themselves.

--- a/src/sesamespoke/caller_connections.py
+++ b/src/sesamespoke/caller_connections.py
@@ -39,13 +39,16 @@
         request_id: str,
         *,
         keeps: bool = True,
+        closes: bool = False,
     ) -> None:
         """Wrap the connection that the request came on.
 
         Unless the host ``keeps`` connections, the caller is asked to open
-        another for its next request, which the balancer sends elsewhere.
+        another for its next request, which the balancer sends elsewhere. A
+        host that ``closes`` does not wait for the caller to do so.
         """
-        self._keeps = keeps
+        self._keeps = keeps and not closes
+        self._closes = closes
         self.started = False
         self._chunked = False
         self._unsent: Awaitable[None] | None = None
@@ -98,6 +101,8 @@
         """Mark the end of the answer."""
         with contextlib.suppress(StreamClosedError):
             self._conn.finish()
+            if self._closes:
+                _close_when_sent(self._conn.stream)
 
     def cut(self) -> None:
         """Close the connection, so that the answer is seen to be cut."""
@@ -131,6 +136,12 @@
         raise StreamClosedError from exc
 
 
+def _close_when_sent(stream: IOStream) -> None:
+    """Close a stream once all that was written has left."""
+    sent = asyncio.ensure_future(stream.write(b''))
+    sent.add_done_callback(lambda _: stream.close())
+
+
 def _declared_length(answer: Answer) -> tuple[str, str]:
     for name, text in answer.headers:
         if name.lower() == 'content-length':
--- a/src/sesamespoke/platform/headers.py
+++ b/src/sesamespoke/platform/headers.py
@@ -22,6 +22,7 @@
     last_event_id='Last-Event-Id',
     seal='Response-Seal',
     not_run='Not-Executed',
+    fetch_from='Kv-Fetch',
 )
 
 NOT_FORWARDED = (
--- a/src/sesamespoke/platform/orders.py
+++ b/src/sesamespoke/platform/orders.py
@@ -18,6 +18,8 @@
 )
 
 MS_PER_SECOND = 1000
+BITS_PER_BYTE = 8
+BITS_PER_MS_AND_MBPS = 1000
 MALFORMED: Final = (ValueError, TypeError, KeyError, AttributeError)
 DEFAULT_TIMEOUT_MS = 30_000
 """Milliseconds for a route that states no time-out."""
@@ -95,7 +97,7 @@
     engine = row.get('engine')
     shape = None
     if engine:
-        shape = EngineShape(int(engine['slots']))
+        shape = EngineShape(int(engine['slots']), _read_fetch_ms(engine))
     return RoutedService(
         row['name'],
         float(row.get('cold_per_s') or 0),
@@ -103,6 +105,16 @@
     )
 
 
+def _read_fetch_ms(engine: Fields) -> float:
+    """Return the milliseconds that one kept token takes between engines.
+
+    ``link_mbps`` is the engines' link to each other, in megabits a second.
+    """
+    link = float(engine.get('link_mbps') or 0)
+    bits = float(engine.get('kv_token_bytes') or 0) * BITS_PER_BYTE
+    return bits / (link * BITS_PER_MS_AND_MBPS) if link else 0
+
+
 def _read_limits(row: Fields) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(int(row.get('max_body_bytes') or default.body_bytes))
--- a/src/sesamespoke/request_server.py
+++ b/src/sesamespoke/request_server.py
@@ -1,7 +1,7 @@
 """An HTTP server that runs one task for each request of a caller."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -54,16 +54,19 @@
 
 
 class BoundedServer(HTTPServer):
-    """An HTTP server with a bound of open connections."""
+    """An HTTP server that takes no more connections than it can serve.
+
+    Others are closed with nothing read: nothing was run, and the caller's
+    next try reaches another host.
+    """
 
     max_connections = MAX_CONNECTIONS
+    is_shedding: Callable[[], bool] = bool
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
-        """Serve a connection, or close it if there are too many.
-
-        Nothing is read, so that the caller knows that nothing was run.
-        """
-        if len(self._connections) >= self.max_connections:
+        """Serve a connection, or close it."""
+        is_full = len(self._connections) >= self.max_connections
+        if is_full or self.is_shedding():
             stream.close()
             return
         super().handle_stream(stream, address)
@@ -92,6 +95,7 @@
             chunk_size=CHUNK_BYTES,
         )
         self._server.max_connections = cfg.max_connections
+        self._server.is_shedding = self.is_shedding
 
     @property
     def active(self) -> int:
@@ -152,6 +156,10 @@
         """Return whether callers may use a connection again."""
         raise NotImplementedError
 
+    def is_shedding(self) -> bool:
+        """Return whether new connections are closed unread for now."""
+        return False
+
     def waited(self) -> float:
         """Return for how long a request may have lain unread, in seconds."""
         return 0
@@ -170,8 +178,12 @@
         reply.cut()
 
     async def _serve(self, call: Call, conn: HTTP1Connection) -> None:
-        keeps = self.keeps_connections() and not self._server.is_crowded
-        reply = ConnectionReply(conn, call.request_id, keeps=keeps)
+        reply = ConnectionReply(
+            conn,
+            call.request_id,
+            keeps=self.keeps_connections(),
+            closes=self._server.is_crowded,
+        )
         try:
             await self._answer(call, reply)
         except StreamClosedError:
--- a/src/sesamespoke/serving/catalog.py
+++ b/src/sesamespoke/serving/catalog.py
@@ -61,9 +61,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineShape:
-    """A model engine's batch size, in requests."""
+    """A model engine's batch size, in requests.
+
+    ``fetch_ms`` is what it takes to fetch a token that another engine keeps,
+    in milliseconds; 0 where engines can't.
+    """
 
     slots: int
+    fetch_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sesamespoke.serving.catalog import Catalog, RoutedService
 from sesamespoke.serving.directory import Directory, ListedEndpoint
@@ -25,6 +25,10 @@
 SAMPLED = 3
 """Endpoints at random beside the home: the best of a few is near the best of
 all, and not all routers choose the same."""
+KEEPERS = 4
+"""The first in rank among which the keeper of a beginning is looked for."""
+KEEPER_SECONDS = 4.0
+"""An engine that has been listed for less has kept little yet."""
 MAX_RANKED = 20_000
 """Shared beginnings whose rank of endpoints is kept."""
 
@@ -42,6 +46,14 @@
         return self.placed.endpoint
 
 
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """Since when an incarnation of an endpoint has been listed."""
+
+    born: int
+    since: float
+
+
 class Chooser:
     """Knows what every endpoint bears now, and gives out its places."""
 
@@ -61,7 +73,7 @@
         self._catalog = catalog
         self._directory = directory
         self._clock = clock
-        self._known: dict[str, int] = {}
+        self._known: dict[str, _Known] = {}
         self._ranked: dict[tuple[str, str], tuple[str, ...]] = {}
         self._data_centre = data_centre
         directory.listeners.append(self._forget_gone)
@@ -127,15 +139,21 @@
         if home is None:
             return None
         others = self._sample(service, ranked, avoided | {home.endpoint.name})
-        return place_generation(wish, service, home, others)
+        placed = place_generation(wish, service, home, others)
+        if placed is None:
+            return None
+        return replace(placed, keeper=self._find_keeper(ranked, placed))
 
     def _rank(self, service: RoutedService, affinity: str) -> tuple[str, ...]:
-        """Return the service's endpoints for a beginning, its home first."""
+        """Return the service's endpoints for a beginning, its home first.
+
+        Those that leave are among them: they still have what they kept.
+        """
         key = (service.name, affinity)
         ranked = self._ranked.get(key)
         if ranked is None:
-            usable = self._directory.usable(service.name)
-            ranked = rank_homes(affinity, usable)
+            listed = self._directory.listed(service.name)
+            ranked = rank_homes(affinity, listed)
             if len(self._ranked) > MAX_RANKED:
                 self._ranked.clear()
             self._ranked[key] = ranked
@@ -151,7 +169,7 @@
         fallback: ListedEndpoint | None = None
         for name in ranked:
             endpoint = self._directory.endpoints[name]
-            if name in avoided or not self._bears(service, endpoint):
+            if name in avoided or not self._may_take(service, endpoint):
                 continue
             if not self.health.is_paused(name):
                 return self._candidate(endpoint)
@@ -172,9 +190,29 @@
             endpoint = self._directory.endpoints[name]
             if self.health.is_paused(name):
                 continue
-            if self._bears(service, endpoint):
+            if self._may_take(service, endpoint):
                 yield self._candidate(endpoint)
 
+    def _find_keeper(
+        self,
+        ranked: tuple[str, ...],
+        placed: Placed,
+    ) -> ListedEndpoint | None:
+        """Return the engine that most likely keeps a beginning, but for one.
+
+        That is the first in rank that has been there for long enough to have
+        read it; where the home is chosen, this is the one before it that is
+        leaving, or the one that was the home before a new one came.
+        """
+        now = self._clock()
+        for name in ranked[:KEEPERS]:
+            endpoint = self._directory.endpoints[name]
+            if endpoint == placed.endpoint or self.health.is_paused(name):
+                continue
+            if now - self._known[name].since >= KEEPER_SECONDS:
+                return endpoint
+        return None
+
     def _candidates(
         self,
         service: RoutedService,
@@ -204,6 +242,16 @@
             endpoint.data_centre != self._data_centre,
         )
 
+    def _may_take(
+        self,
+        service: RoutedService,
+        endpoint: ListedEndpoint,
+    ) -> bool:
+        """Return whether an endpoint may be given work now."""
+        return self._directory.is_usable(endpoint) and self._bears(
+            service, endpoint
+        )
+
     def _bears(self, service: RoutedService, endpoint: ListedEndpoint) -> bool:
         if endpoint.cold_until <= self._clock():
             return True
@@ -212,12 +260,17 @@
     def _forget_gone(self, directory: Directory) -> None:
         """Forget what was learned of endpoints that left or restarted."""
         self._ranked.clear()
-        now_known = {
-            name: endpoint.born
-            for name, endpoint in directory.endpoints.items()
-        }
-        for name, born in self._known.items():
-            if now_known.get(name) != born:
-                self.health.forget(name)
-                self.gate.forget(name)
-        self._known = now_known
+        before = self._known
+        self._known = {}
+        for name, endpoint in directory.endpoints.items():
+            known = before.pop(name, None)
+            if known is None or known.born != endpoint.born:
+                self._forget(name)
+                known = _Known(endpoint.born, self._clock())
+            self._known[name] = known
+        for name in before:
+            self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        self.health.forget(name)
+        self.gate.forget(name)
--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -92,6 +92,14 @@
             self.evacuated = data_centres
             self._changed()
 
+    def listed(self, service: str) -> tuple[ListedEndpoint, ...]:
+        """Return all endpoints of a service, those that leave among them."""
+        return tuple(
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.service == service
+        )
+
     def usable(self, service: str) -> tuple[ListedEndpoint, ...]:
         """Return the endpoints of a service that may be given work."""
         known = self._usable.get(service)
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -66,6 +66,7 @@
     last_event_id: str
     seal: str
     not_run: str
+    fetch_from: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +83,8 @@
     ``may_send`` is asked when a connection stands, before the first byte.
     ``patience`` is how long the endpoint may take to its first byte of the
     body, in seconds; silence later ends a stream that may be resumed after
-    ``silence``.
+    ``silence``. The endpoint is to fetch what it lacks of the prompt from the
+    one at ``keeper_address``, if that is set.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         """Prepare an attempt; nothing is sent yet."""
         self.patience: float = math.inf
         self.silence: float = math.inf
+        self.keeper_address = ''
         self.sent = False
         self.on_first_byte: Callable[[], None] = _ignore
         self.first_byte_at: float | None = None
@@ -312,6 +315,8 @@
         ]
         if job.account:
             rows.append((names.account, job.account))
+        if self.keeper_address:
+            rows.append((names.fetch_from, self.keeper_address))
         resumed_at = self._relay.last_id.decode('latin-1')
         if resumed_at or job.last_event_id:
             rows.append((names.last_event_id, resumed_at or job.last_event_id))
--- a/src/sesamespoke/serving/log_lines.py
+++ b/src/sesamespoke/serving/log_lines.py
@@ -87,19 +87,16 @@
         chunk = b''.join(self._lines)
         self._lines.clear()
         self._kept = 0
-        if not chunk:
-            return
         try:
-            written = os.write(self._fd, chunk)
+            while chunk:
+                # A part that was taken need not mean that the reader is full.
+                chunk = chunk[os.write(self._fd, chunk) :]
         except BlockingIOError:
-            written = 0
+            self._lines.append(chunk)
+            self._kept = len(chunk)
+            self._arm(0.05)
         except OSError:
             self._dropped += chunk.count(b'\n')
-            return
-        if written < len(chunk):
-            self._lines.append(chunk[written:])
-            self._kept = len(chunk) - written
-            self._arm(0.05)
 
     def _queue(self, line: str) -> None:
         encoded = f'{line}\n'.encode()
--- a/src/sesamespoke/serving/placement.py
+++ b/src/sesamespoke/serving/placement.py
@@ -6,10 +6,11 @@
 lasts. A prompt that goes where its beginning was read costs the engine half
 as much. Each shared beginning has one home by rendezvous hashing, which every
 router computes alike. Memory is full within seconds, so that a second home
-would rarely keep a beginning till its next use. Homes are loaded unevenly: a
-request that shares little evens that out, since it may go to any engine; one
-that shares much leaves its home only when that is full, for an engine that
-has little to do. Requests that can still meet their objective go first.
+would rarely keep a beginning till its next use. Homes are loaded unevenly:
+another engine takes a request if it would answer sooner, and fetches the
+beginning from its home. Where engines can't do that, a request that shares
+much leaves its home only when that is full, for an engine that has little to
+do. Requests that can still meet their objective go first.
 
 Sources: Thaler and Ravishankar, "Using name-based mappings to increase hit
 rates", IEEE/ACM Transactions on Networking, 1998 (homes); Mitzenmacher, "How
@@ -29,12 +30,14 @@
 
 HEAVY_TOKENS = 1000
 """A shared beginning of so many tokens is worth a way to its home."""
-SPILL_FRACTION = 0.2
+REREAD_FRACTION = 0.2
 """The part of its bounds up to which an engine takes a heavy beginning that
-it has not read."""
-REREAD_WEIGHT = 3.0
-"""What reading a beginning again counts against waiting: it delays everybody
-who waits at that engine, and takes the memory of other beginnings."""
+it would have to read again."""
+FETCH_FRACTION = 0.5
+"""The same where it can fetch the beginning from the engine that keeps it."""
+COPY_WEIGHT = 5.0
+"""What another copy of a beginning counts against waiting, as a multiple of
+reading it: it takes the memory of other beginnings."""
 DISTANCE_MS = 15.0
 """What a way to another data centre counts against waiting."""
 LATE_ROOM = 0.5
@@ -79,13 +82,15 @@
     """An endpoint chosen for a request; times in milliseconds.
 
     ``reading`` is the work of its prompt, ``expected`` the time to the
-    first byte of the answer, ``load`` what the endpoint had then.
+    first byte of the answer, ``load`` what the endpoint had then. The
+    ``keeper`` is another engine from which it can fetch the beginning.
     """
 
     endpoint: ListedEndpoint
     reading: float
     expected: float
     load: Load
+    keeper: ListedEndpoint | None = None
 
 
 def rank_homes(
@@ -137,21 +142,16 @@
 ) -> Placed | None:
     """Return the engine with room that answers at least cost, if any has.
 
-    The ``others`` have to read a shared beginning that its home keeps.
+    The ``others`` have to get a shared beginning that its home keeps.
     """
-    prompt = wish.job.prompt
-    shared = shared_tokens(prompt)
-    is_heavy = shared >= HEAVY_TOKENS
     bids: list[_Bid | None] = []
     if home is not None:
-        terms = _Terms(reading_ms(prompt, at_home=True), wish.fill, 0)
-        bids.append(_bid(wish, service, home, terms))
-    terms = _Terms(
-        reading_ms(prompt, at_home=False),
-        wish.fill * SPILL_FRACTION if is_heavy else wish.fill,
-        shared / TOKENS_READ_PER_MS * REREAD_WEIGHT,
-    )
-    bids.extend(_bid(wish, service, each, terms) for each in others)
+        at_home = _Terms(
+            reading_ms(wish.job.prompt, at_home=True), wish.fill, 0
+        )
+        bids.append(_bid(wish, service, home, at_home))
+    elsewhere = _terms_elsewhere(wish, service, has_home=home is not None)
+    bids.extend(_bid(wish, service, each, elsewhere) for each in others)
     best = min(filter(None, bids), key=_cost_of, default=None)
     return None if best is None else best.placed
 
@@ -168,6 +168,32 @@
     penalty: float
 
 
+def _terms_elsewhere(
+    wish: Wish,
+    service: RoutedService,
+    *,
+    has_home: bool,
+) -> _Terms:
+    """Return the terms for an engine that has not read the beginning.
+
+    It fetches the beginning from its home where engines can do that, and
+    else reads it again.
+    """
+    prompt = wish.job.prompt
+    shared = shared_tokens(prompt)
+    per_token = service.engine.fetch_ms if service.engine else 0
+    is_heavy = has_home and shared >= HEAVY_TOKENS
+    penalty = shared / TOKENS_READ_PER_MS * COPY_WEIGHT if has_home else 0
+    if has_home and per_token:
+        reading = reading_ms(prompt, at_home=True) + shared * per_token
+        spill = FETCH_FRACTION
+    else:
+        reading = reading_ms(prompt, at_home=False)
+        spill = REREAD_FRACTION
+    room = wish.fill * spill if is_heavy else wish.fill
+    return _Terms(reading, room, penalty)
+
+
 @dataclass(frozen=True, slots=True)
 class _Bid:
     placed: Placed
--- a/src/sesamespoke/serving/pressure.py
+++ b/src/sesamespoke/serving/pressure.py
@@ -13,9 +13,9 @@
 from sesamespoke.serving.serving_call import Log
 
 TICK_SECONDS = 0.05
-LATE_SECONDS = 0.15
+LATE_SECONDS = 0.08
 """A loop that is so late makes callers wait longer than they notice."""
-LATE_TICKS = 6
+LATE_TICKS = 4
 """Late ticks in a row: one alone is a pause of the host."""
 CALM_SECONDS = 0.03
 CALM_TICKS = 40
--- a/src/sesamespoke/serving/routed_server.py
+++ b/src/sesamespoke/serving/routed_server.py
@@ -21,6 +21,9 @@
 from sesamespoke.settings import Address
 from sesamespoke.verdicts import Refusal
 
+SHED_LAG = 0.12
+"""Seconds; to serve what comes so late costs more than the next host does."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServerParts:
@@ -57,6 +60,10 @@
         """Return whether callers may use a connection again."""
         return self._parts.keeps()
 
+    def is_shedding(self) -> bool:
+        """Return whether new connections are closed unread for now."""
+        return self._parts.lag() > SHED_LAG
+
     def waited(self) -> float:
         """Return for how long a request may have lain unread, in seconds."""
         return self._parts.lag()
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -142,6 +142,8 @@
         exchange = Exchange(
             parts.line, job, grant.endpoint, self._reply, self._relay
         )
+        if grant.placed.keeper is not None:
+            exchange.keeper_address = grant.placed.keeper.address
         self._set_patience(exchange)
         exchange.may_send = lambda: parts.chooser.is_usable(grant)
         exchange.on_first_byte = lambda: parts.chooser.loads.note_read(
@@ -299,6 +301,7 @@
         'unread_ms': round(placed.load.reading),
         'own_unread_ms': round(placed.reading),
         'expected_ms': round(placed.expected),
+        'keeper': placed.keeper.name if placed.keeper else None,
     }
 
 
--- a/tests/support_platform.py
+++ b/tests/support_platform.py
@@ -349,7 +349,12 @@
             'health_check_path': '/health',
             'max_connections': 370,
             'cold_per_s': 8.9,
-            'engine': {'slots': 64, 'kv_cache_tokens': 400_000},
+            'engine': {
+                'slots': 64,
+                'kv_cache_tokens': 400_000,
+                'kv_token_bytes': 18_432,
+                'link_mbps': 740_000,
+            },
         },
         {'name': 'desk', 'max_connections': 110, 'cold_per_s': 0.0},
     ],
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -4,7 +4,8 @@
 import contextlib
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from unittest import mock
 
 import pytest
 import structlog
@@ -31,7 +32,7 @@
 from sesamespoke.platform.kv_store import KvStore
 from sesamespoke.request_server import KEPT_FRACTION
 from sesamespoke.serving.directory import Directory
-from sesamespoke.serving.pressure import LATE_TICKS
+from sesamespoke.serving.pressure import LATE_TICKS, LoopPressure
 from sesamespoke.serving.router import RoutedRouter
 from sesamespoke.serving.settings import (
     FeedSettings,
@@ -138,8 +139,19 @@
             await asyncio.sleep(0.01)
 
 
+async def measure_nothing(pressure: LoopPressure) -> None:
+    """Leave the lag as a test sets it, however busy the machine is."""
+
+
 @contextlib.asynccontextmanager
 async def opened() -> AsyncIterator[Fleet]:
+    with mock.patch.object(LoopPressure, 'run', measure_nothing):
+        async with opened_with_lag() as fleet:
+            yield fleet
+
+
+@contextlib.asynccontextmanager
+async def opened_with_lag() -> AsyncIterator[Fleet]:
     store = StoreStandIn()
     client = KvStore(store.start())
     store.put('op/config', CONFIG)
@@ -617,10 +629,11 @@
     async def steps(fleet: Fleet) -> None:
         await fleet.add_engine('i-1', 'desk', answer_well)
         ready = fleet.router.pages[0].port
+        caller = await fleet.connect()
         for _ in range(LATE_TICKS):
             fleet.router.pressure.note(1)
         assert (await fetch(ready)).status == 503
-        assert (await (await fleet.connect()).ask('/l/1')).status == 200
+        assert (await caller.ask('/l/1')).status == 200
 
     play(steps)
 
@@ -642,6 +655,24 @@
     play(steps)
 
 
+def test_a_host_that_lags_sheds_new_connections_and_keeps_the_open_ones() -> (
+    None
+):
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        caller = await fleet.connect()
+        assert (await caller.ask('/l/1')).status == 200
+        fleet.router.pressure.lag = 10
+        late = await fleet.connect()
+        with pytest.raises(ConnectionError):
+            await late.ask('/l/1')
+        assert len(fleet.engines['i-1'].asked) == 1
+        fleet.router.pressure.lag = 0
+        assert (await caller.ask('/l/1')).status == 200
+
+    play(steps)
+
+
 def test_many_connections_are_not_kept() -> None:
     """One caller's idle connections took all descriptors of a host."""
 
@@ -658,6 +689,35 @@
     play(steps)
 
 
+def test_what_a_home_keeps_is_fetched_by_an_engine_that_stands_in() -> None:
+    """The beginning's other engines read again what the home had kept."""
+
+    async def steps(fleet: Fleet) -> None:
+        engines = [
+            await fleet.add_engine(f'i-{number}', 'llm', stream_well)
+            for number in range(3)
+        ]
+        rows = ('Token-Counts: 6000,80', 'Prompt-Prefix: a1:5000,b2:1000')
+        assert (await (await fleet.connect()).ask('/s/1', *rows)).status == 200
+        home = next(each for each in engines if each.asked)
+        asked = home.asked[0].headers
+        assert 'kv-fetch' not in asked
+        chooser = fleet.router.chooser
+        name = asked['expect-instance']
+        taken = chooser.loads.begin(name, 10_000)
+        for known in list(chooser._known):
+            chooser._known[known] = replace(chooser._known[known], since=0)
+        assert (await (await fleet.connect()).ask('/s/1', *rows)).status == 200
+        chooser.loads.end(taken)
+        other = next(
+            each for each in engines if each is not home and each.asked
+        )
+        address = fleet.router.directory.endpoints[name].address
+        assert other.asked[0].headers['kv-fetch'] == address
+
+    play(steps)
+
+
 async def fetch(port: int) -> Answered:
     caller = Caller(*await asyncio.open_connection('127.0.0.1', port))
     caller.send('/v1/readiness')
--- a/tests/test_serving_health.py
+++ b/tests/test_serving_health.py
@@ -1,11 +1,13 @@
 """What a router learns of endpoints from how its requests fare."""
 
+from dataclasses import replace
+
 from support_serving_jobs import ENGINE, PLAIN, Clock, endpoints_of, job_of
 
 from sesamespoke.attempts import Attempt
 from sesamespoke.limits import Outcome
 from sesamespoke.serving.catalog import Catalog
-from sesamespoke.serving.chooser import Chooser
+from sesamespoke.serving.chooser import KEEPER_SECONDS, Chooser
 from sesamespoke.serving.directory import Directory, Listing
 from sesamespoke.serving.health import (
     FIRST_PAUSE,
@@ -97,6 +99,35 @@
     assert home_of(chooser) == home
 
 
+def test_the_keeper_of_a_beginning_is_one_that_has_been_there() -> None:
+    clock = Clock()
+    chooser, directory = opened(clock)
+    first = chooser.reserve(job_of('a'), 1, NOBODY)
+    assert first is not None
+    assert first.placed.keeper is None
+    clock.now += KEEPER_SECONDS
+    home = first.endpoint
+    second = chooser.reserve(job_of('a'), 1, frozenset((home.name,)))
+    assert second is not None
+    assert second.placed.keeper == home
+    leaving = tuple(
+        replace(each, leaving=each.name == home.name)
+        for each in directory.endpoints.values()
+    )
+    directory.replace(Listing(2, leaving))
+    moved = chooser.reserve(job_of('a'), 1, NOBODY)
+    assert moved is not None
+    assert moved.endpoint.name != home.name
+    assert moved.placed.keeper is not None
+    assert moved.placed.keeper.name == home.name
+    chooser.health.note(home.name, BROKEN, 100)
+    after = chooser.reserve(job_of('a'), 1, NOBODY)
+    assert after is not None
+    assert after.placed.keeper is None or (
+        after.placed.keeper.name != home.name
+    )
+
+
 def test_where_all_are_left_alone_all_are_tried() -> None:
     chooser, directory = opened(Clock())
     for name in directory.endpoints:
--- a/tests/test_serving_placement.py
+++ b/tests/test_serving_placement.py
@@ -13,6 +13,7 @@
     prompt_of,
 )
 
+from sesamespoke.serving.catalog import EngineShape
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.load import Load
 from sesamespoke.serving.placement import (
@@ -190,6 +191,28 @@
     assert placed.endpoint.name == idle
 
 
+def test_where_engines_fetch_a_busy_home_lets_others_help_sooner() -> None:
+    fetching = replace(ENGINE, engine=EngineShape(64, fetch_ms=0.0002))
+    home = rank_homes('b', ENGINES)[0]
+    others = [
+        Candidate(engine, Load(6, 60))
+        for engine in ENGINES
+        if engine.name != home
+    ]
+    full = Candidate(
+        next(each for each in ENGINES if each.name == home), Load(64, 0)
+    )
+    wish = Wish(job_of('a'), 1, 1000)
+    assert place_generation(wish, ENGINE, full, others) is None
+    helped = place_generation(wish, fetching, full, others)
+    assert helped is not None
+    assert helped.reading < reading_ms(wish.job.prompt, at_home=False)
+    calm = Candidate(full.endpoint, Load(10, 100))
+    stays = place_generation(wish, fetching, calm, others)
+    assert stays is not None
+    assert stays.endpoint.name == home
+
+
 def test_what_will_be_late_leaves_room_for_what_can_be_in_time() -> None:
     busy = [Candidate(engine, Load(14, 100)) for engine in ENGINES]
     assert place(job_of('a'), 1, busy, left=1000) is not None
