--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -83,8 +83,9 @@
     ``may_send`` is asked when a connection stands, before the first byte.
     ``patience`` is how long the endpoint may take to its first byte of the
     body, in seconds; silence later ends a stream that may be resumed after
-    ``silence``. The endpoint is to fetch what it lacks of the prompt from the
-    one at ``keeper_address``, if that is set.
+    ``silence``. ``resent`` tells that the request was sent once more because
+    a kept connection had closed. The endpoint is to fetch what it lacks of
+    the prompt from the one at ``keeper_address``, if that is set.
     """
 
     def __init__(
@@ -100,6 +101,7 @@
         self.silence: float = math.inf
         self.keeper_address = ''
         self.sent = False
+        self.resent = False
         self.on_first_byte: Callable[[], None] = _ignore
         self.first_byte_at: float | None = None
         self.may_send: Callable[[], bool] = _always
@@ -120,6 +122,7 @@
         may_reuse = self._job.route.may_repeat
         attempt = await self._try_once(fresh=not may_reuse)
         if attempt is _STALE:
+            self.resent = True
             attempt = await self._try_once(fresh=True)
             if attempt.verdict is Verdict.NOT_RUN:
                 attempt = replace(attempt, verdict=Verdict.MAY_HAVE_RUN)
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -1,7 +1,6 @@
 """One router of routed services: its parts, their start and their stop."""
 
 import asyncio
-from collections.abc import Callable
 
 import structlog
 from tornado.httputil import HTTPServerRequest
@@ -16,6 +15,7 @@
 from sesamespoke.serving.directory import Directory
 from sesamespoke.serving.exchange import Line, WireNames
 from sesamespoke.serving.fairness import FairShares
+from sesamespoke.serving.fleet_size import FleetSize
 from sesamespoke.serving.following import Follower
 from sesamespoke.serving.intake import ReadHead
 from sesamespoke.serving.news import News
@@ -55,12 +55,13 @@
     ) -> None:
         """Create the parts; call within the event loop that runs them."""
         self.cfg = cfg
-        self._clock: Callable[[], float] = asyncio.get_running_loop().time
+        self._clock = asyncio.get_running_loop().time
         self.metrics = Metrics(cfg.host)
         self.timeline = Timeline(cfg.host, cfg.data_centre)
         self.peers = PeerStreams(
             peer_settings(cfg), self.metrics, self.timeline
         )
+        self.size = FleetSize(self.peers, self.peers.host_list, log.info)
         self.directory = Directory(self._clock)
         self.follower = Follower(
             cfg,
@@ -75,15 +76,15 @@
             lambda: self.follower.orders.catalog,
             self.directory,
             self._clock,
-            self.count_routers,
+            self.size.count,
             cfg.data_centre,
         )
-        self.shares = FairShares(self._clock, self._token_rate)
+        self._shares = FairShares(self._clock, self._token_rate)
         self._rooms: dict[str, WaitingRoom[Reservation]] = {}
         self.loads = PeerLoads(
             self.peers,
             self.chooser.loads,
-            self.shares,
+            self._shares,
         )
         self._budgets: dict[str, RetryShare] = {}
         self.pool = ConnectionPool(POOL)
@@ -132,11 +133,6 @@
         knows = self.follower.orders.catalog is not None
         return knows and not (self.stop.is_asked or self.pressure.is_late)
 
-    def count_routers(self) -> int:
-        """Return how many routers may share a bound, seen or listed."""
-        seen = len(self.peers.view.members)
-        return max(1, seen, len(self.peers.host_list.hosts))
-
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
         self.stop.install()
@@ -165,7 +161,7 @@
     def _room(self, service: str) -> WaitingRoom[Reservation]:
         room = self._rooms.get(service)
         if room is None:
-            room = WaitingRoom(self.shares, self._clock, self.chooser.release)
+            room = WaitingRoom(self._shares, self._clock, self.chooser.release)
             room.on_ask = self.loads.note_ask
             room.on_grant = self.loads.note_grant
             self._rooms[service] = room
@@ -179,9 +175,7 @@
     def _budget(self, service: str) -> RetryShare:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryShare(
-                self.cfg.retries, self._clock, self.count_routers
-            )
+            budget = RetryShare(self.cfg.retries, self._clock, self.size.count)
             self._budgets[service] = budget
         return budget
 
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -93,6 +93,10 @@
         """Allow another attempt."""
         return True
 
+    def standing(self) -> dict[str, object]:
+        """Return nothing: no bound decided."""
+        return {}
+
 
 class ServingCall:
     """The state of one request while it is served."""
@@ -158,7 +162,10 @@
             parts.chooser.release(grant)
             parts.rooms(job.service).pump()
         self._note(grant, exchange, attempt)
-        return attempt, self._follow(exchange, attempt)
+        step = self._follow(exchange, attempt)
+        if not (attempt.passed_on or attempt.verdict is Verdict.RAN):
+            self._tell_failed(grant, exchange, attempt, step)
+        return attempt, step
 
     def _set_patience(self, exchange: Exchange) -> None:
         """Let an endpoint go that is silent, where another may be asked."""
@@ -189,8 +196,13 @@
             job.route.resumable and bool(attempt.last_id),
         )
         left = job.deadline - self._loop.time()
-        budget = self._parts.budget(job.service) if exchange.sent else _Free()
-        return next_step(situation, left, budget)
+        return next_step(situation, left, self._budget_of(exchange))
+
+    def _budget_of(self, exchange: Exchange) -> RetryShare | _Free:
+        """Return what pays for the attempt that follows."""
+        if exchange.sent:
+            return self._parts.budget(self._job.service)
+        return _Free()
 
     def _note(
         self,
@@ -217,16 +229,42 @@
             service=self._job.service,
             outcome=attempt.outcome.name.lower(),
         )
-        if attempt.passed_on or attempt.verdict is Verdict.RAN:
-            return
+        if exchange.resent:
+            parts.metrics.count('resends', service=self._job.service)
+            parts.log(
+                'request_resent',
+                request_id=self._job.request_id,
+                endpoint=endpoint.name,
+                why='a kept connection had closed',
+            )
+
+    def _tell_failed(
+        self,
+        grant: Reservation,
+        exchange: Exchange,
+        attempt: Attempt,
+        step: Step,
+    ) -> None:
+        """Tell of an attempt that brought nothing to pass on, and what next."""
+        parts = self._parts
+        budget = self._budget_of(exchange)
+        parts.metrics.count(
+            'retry_decisions',
+            service=self._job.service,
+            step=step.value,
+            paid=str(exchange.sent).lower(),
+        )
         parts.log(
             'attempt_failed',
             request_id=self._job.request_id,
-            endpoint=endpoint.name,
+            service=self._job.service,
+            endpoint=grant.endpoint.name,
             verdict=attempt.verdict.value,
             why=attempt.detail,
             sent=exchange.sent,
             expected_ms=round(grant.placed.expected),
+            next=step.value,
+            **budget.standing(),
             **parts.chooser.beliefs(),
         )
 
--- a/src/sesamespoke/serving/shares.py
+++ b/src/sesamespoke/serving/shares.py
@@ -62,15 +62,31 @@
     def spend(self) -> bool:
         """Take a retry; return whether the budget allows it."""
         bucket = self._bucket()
-        fresh = sum(each.fresh for each in self._buckets)
-        spent = sum(each.spent for each in self._buckets)
-        share = self.cfg.slack / max(1, self._routers())
-        allowed = SAFE_FRACTION * (self.cfg.ratio * fresh + share)
-        if spent + 1 > allowed:
+        if self._spent() + 1 > self._allowed():
             return False
         bucket.spent += 1
         return True
 
+    def standing(self) -> dict[str, object]:
+        """Return what decides on a retry, for the log."""
+        self._bucket()
+        return {
+            'retries_spent': self._spent(),
+            'retries_allowed': round(self._allowed(), 1),
+            'fresh': self._fresh(),
+            'routers': self._routers(),
+        }
+
+    def _allowed(self) -> float:
+        share = self.cfg.slack / max(1, self._routers())
+        return SAFE_FRACTION * (self.cfg.ratio * self._fresh() + share)
+
+    def _fresh(self) -> int:
+        return sum(each.fresh for each in self._buckets)
+
+    def _spent(self) -> int:
+        return sum(each.spent for each in self._buckets)
+
     def _bucket(self) -> _Bucket:
         now = self._clock()
         while (
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -32,6 +32,7 @@
 from sesamespoke.platform.kv_store import KvStore
 from sesamespoke.request_server import KEPT_FRACTION
 from sesamespoke.serving.directory import Directory
+from sesamespoke.serving.following import HOST_PREFIX
 from sesamespoke.serving.pressure import LATE_TICKS, LoopPressure
 from sesamespoke.serving.router import RoutedRouter
 from sesamespoke.serving.settings import (
@@ -722,3 +723,53 @@
     caller = Caller(*await asyncio.open_connection('127.0.0.1', port))
     caller.send('/v1/readiness')
     return await caller.receive()
+
+
+def test_a_failed_attempt_tells_the_budget_that_decided_on_the_next() -> None:
+    async def steps(fleet: Fleet) -> None:
+        for name in ('i-1', 'i-2'):
+            await fleet.add_engine(name, 'desk', close_at_once)
+        with structlog.testing.capture_logs() as lines:
+            answered = await (await fleet.connect()).ask('/l/1')
+        assert answered.status == 502
+        first, last = (
+            line for line in lines if line['event'] == 'attempt_failed'
+        )
+        assert (first['next'], last['next']) == ('again', 'final')
+        assert last['retries_spent'] == 1
+        assert last['routers'] == 1
+        assert first['fresh'] == 1
+        assert first['retries_allowed'] > 1
+
+    play(steps)
+
+
+def test_a_request_sent_again_on_a_new_connection_is_told() -> None:
+    async def answer_then_close(asked: Asked, writer: Writer) -> None:
+        if asked.line.endswith('/l/1 HTTP/1.1'):
+            await answer_well(asked, writer)
+        else:
+            writer.transport.abort()
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_then_close)
+        caller = await fleet.connect()
+        assert (await caller.ask('/l/1')).status == 200
+        with structlog.testing.capture_logs() as lines:
+            await caller.ask('/l/2')
+        resent = [line for line in lines if line['event'] == 'request_resent']
+        assert [line['endpoint'] for line in resent] == ['i-1']
+
+    play(steps)
+
+
+def test_a_change_of_the_routers_that_are_counted_is_told() -> None:
+    async def steps(fleet: Fleet) -> None:
+        row = {'host': 'h-2', 'data_centre': 'land', 'peers': '10.0.0.2:7'}
+        with structlog.testing.capture_logs() as lines:
+            fleet.store.put(f'{HOST_PREFIX}h-2', row)
+            await until(lambda: fleet.router.size.count() == 2)
+        told = [line for line in lines if line['event'] == 'routers_counted']
+        assert [(line['before'], line['counted']) for line in told] == [(1, 2)]
+
+    play(steps)
