--- a/tests/support_platform.py
+++ b/tests/support_platform.py
@@ -30,7 +30,8 @@
     """The key-value service, without its rates.
 
     ``refuse_with`` answers every call with a status; ``silent`` answers
-    none; ``drop_history`` answers watches with 410.
+    none; ``drop_history`` answers watches with 410. Lists leave out keys that
+    begin with ``hidden``, as a stale read does after they were written.
     """
 
     items: dict[str, Item] = field(default_factory=dict)
@@ -40,6 +41,7 @@
     refuse_with: int | None = None
     silent: bool = False
     drop_history: bool = False
+    hidden: str | None = None
     page: int = 500
     calls: list[str] = field(default_factory=list)
     queries: list[dict[str, str]] = field(default_factory=list)
@@ -120,6 +122,7 @@
             for key in self.items
             if key.startswith(query['prefix'])
             and key > query.get('after_revision', '')
+            and not (self.hidden and key.startswith(self.hidden))
         )
         page = keys[: self.page]
         return 200, {
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -3,9 +3,7 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field, replace
-from unittest import mock
+from dataclasses import replace
 
 import pytest
 import structlog
@@ -14,8 +12,6 @@
     CONFIG,
     Asked,
     Behave,
-    EngineStandIn,
-    StoreStandIn,
     Writer,
     answer_well,
     chunk,
@@ -25,158 +21,19 @@
     stream_well,
     whole_answer,
 )
+from support_routed import (
+    CFG,
+    Answered,
+    Caller,
+    Fleet,
+    play,
+    until,
+)
 
-from sesamespoke.framing import BodyReader, Head, split_head
-from sesamespoke.platform.feeds import PlatformFeeds
-from sesamespoke.platform.headers import NAMES, read_head
-from sesamespoke.platform.kv_store import KvStore
 from sesamespoke.request_server import KEPT_FRACTION
 from sesamespoke.serving.directory import Directory
 from sesamespoke.serving.following import HOST_PREFIX
-from sesamespoke.serving.pressure import LATE_TICKS, LoopPressure
-from sesamespoke.serving.router import RoutedRouter
-from sesamespoke.serving.settings import (
-    FeedSettings,
-    ServingSettings,
-    StopSettings,
-)
-from sesamespoke.serving.shares import RetryBounds
-from sesamespoke.settings import Address
-
-ANY_PORT = Address('127.0.0.1', 0)
-CFG = ServingSettings(
-    'frontend-north-1',
-    'north',
-    'land',
-    ANY_PORT,
-    ANY_PORT,
-    ANY_PORT,
-    ANY_PORT,
-    RetryBounds(0.2, 10, 58),
-    StopSettings(notice=0.3, longest=2),
-    FeedSettings(endpoints=0.05, hosts=0.05, lease=5),
-    max_callers=40,
-)
-PATIENCE_SECONDS = 10
-
-
-@dataclass
-class Fleet:
-    """A router, a store and some engines."""
-
-    store: StoreStandIn
-    router: RoutedRouter
-    running: asyncio.Task[None]
-    engines: dict[str, EngineStandIn] = field(default_factory=dict)
-
-    async def add_engine(
-        self, name: str, service: str, behave: Behave
-    ) -> EngineStandIn:
-        engine = EngineStandIn(behave)
-        address = await engine.start()
-        self.engines[name] = engine
-        self.store.put(f'servers/{name}', server_entry(service, address))
-        directory = self.router.directory
-        await until(lambda: name in directory.endpoints)
-        return engine
-
-    async def connect(self) -> 'Caller':
-        port = self.router.server.port
-        return Caller(*await asyncio.open_connection('127.0.0.1', port))
-
-
-@dataclass
-class Answered:
-    status: int
-    head: Head
-    body: bytes
-    whole: bool
-
-
-@dataclass
-class Caller:
-    """A caller's connection."""
-
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-
-    def send(self, path: str, *rows: str, method: str = 'POST') -> None:
-        lines = [
-            f'{method} {path} HTTP/1.1',
-            'Host: a.example',
-            'Request-Attempt-Id: r1',
-            'Authorization: Bearer key-1',
-            'Content-Length: 4',
-            *rows,
-        ]
-        self.writer.write('\r\n'.join(lines).encode() + b'\r\n\r\nbody')
-
-    async def receive(self, method: str = 'POST') -> Answered:
-        buf = b''
-        async with asyncio.timeout(PATIENCE_SECONDS):
-            while (parts := split_head(buf)) is None:
-                content = await self.reader.read(65_536)
-                if not content:
-                    raise ConnectionError('no answer')
-                buf += content
-            head, rest = parts
-            body = BodyReader(head, method)
-            payload = body.feed(rest)
-            while not body.finished:
-                content = await self.reader.read(65_536)
-                if not content:
-                    break
-                payload += body.feed(content)
-        return Answered(head.status, head, payload, body.finished)
-
-    async def ask(self, path: str, *rows: str) -> Answered:
-        self.send(path, *rows)
-        return await self.receive()
-
-
-async def until(holds: Callable[[], bool]) -> None:
-    async with asyncio.timeout(PATIENCE_SECONDS):
-        while not holds():
-            await asyncio.sleep(0.01)
-
-
-async def measure_nothing(pressure: LoopPressure) -> None:
-    """Leave the lag as a test sets it, however busy the machine is."""
-
-
-@contextlib.asynccontextmanager
-async def opened() -> AsyncIterator[Fleet]:
-    with mock.patch.object(LoopPressure, 'run', measure_nothing):
-        async with opened_with_lag() as fleet:
-            yield fleet
-
-
-@contextlib.asynccontextmanager
-async def opened_with_lag() -> AsyncIterator[Fleet]:
-    store = StoreStandIn()
-    client = KvStore(store.start())
-    store.put('op/config', CONFIG)
-    router = RoutedRouter(CFG, PlatformFeeds(client), NAMES, read_head)
-    fleet = Fleet(store, router, asyncio.create_task(router.run()))
-    try:
-        await until(lambda: router.is_ready)
-        yield fleet
-    finally:
-        router.stop.ask()
-        async with asyncio.timeout(PATIENCE_SECONDS):
-            await fleet.running
-        client.close()
-        store.stop()
-        for engine in fleet.engines.values():
-            engine.stop()
-
-
-def play(steps: Callable[[Fleet], Awaitable[None]]) -> None:
-    async def whole() -> None:
-        async with opened() as fleet:
-            await steps(fleet)
-
-    asyncio.run(whole())
+from sesamespoke.serving.pressure import LATE_TICKS
 
 
 def test_an_engine_s_answer_reaches_its_caller_whole_with_its_seal() -> None:
