Pay from the retry budget for a request sent again on a new connection

Cause: an exchange replaced a kept connection that had closed and sent the request once more by itself. It took the first send for one that never arrived; an engine that reads a request and then breaks looks the same. Neither the budget nor the count of sends knew of the second one.

Change: the exchange asks before it sends again; the call pays from the budget, counts the send, and sends nothing more to an endpoint that left or turned cold. Why it works: the budget now hears of every arrival that this process can cause.

--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -115,6 +115,13 @@
         """Return whether the endpoint may still be sent a request."""
         return self._directory.is_usable(reservation.endpoint)
 
+    def may_send_again(self, reservation: Reservation) -> bool:
+        """Return whether the endpoint may be sent the request once more."""
+        if not self.is_usable(reservation):
+            return False
+        endpoint = self._directory.endpoints[reservation.endpoint.name]
+        return endpoint.cold_until <= self._clock()
+
     def release(self, reservation: Reservation) -> None:
         """Give a place back."""
         self.loads.end(reservation.running)
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -80,12 +80,13 @@
 class Exchange:
     """The state of one attempt while it runs.
 
-    ``may_send`` is asked when a connection stands, before the first byte.
+    ``may_send`` is asked when a connection stands, before the first byte, and
+    ``may_resend`` before the request goes out once more because a kept
+    connection had closed; ``resent`` tells that it did.
     ``patience`` is how long the endpoint may take to its first byte of the
     body, in seconds; silence later ends a stream that may be resumed after
-    ``silence``. ``resent`` tells that the request was sent once more because
-    a kept connection had closed. The endpoint is to fetch what it lacks of
-    the prompt from the one at ``keeper_address``, if that is set.
+    ``silence``. The endpoint is to fetch what it lacks of the prompt from the
+    one at ``keeper_address``, if that is set.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self.on_first_byte: Callable[[], None] = _ignore
         self.first_byte_at: float | None = None
         self.may_send: Callable[[], bool] = _always
+        self.may_resend: Callable[[], bool] = _never
         self._line = line
         self._job = job
         self._endpoint = endpoint
@@ -117,11 +119,12 @@
         """Send the request and return what came of it.
 
         A kept connection is used for calls that may be repeated: it may
-        close just as the request is sent. It is then replaced once.
+        close just as the request is sent. It is then replaced once, if the
+        request may go out again: the endpoint may have got it.
         """
         may_reuse = self._job.route.may_repeat
         attempt = await self._try_once(fresh=not may_reuse)
-        if attempt is _STALE:
+        if attempt is _STALE and self.may_resend():
             self.resent = True
             attempt = await self._try_once(fresh=True)
             if attempt.verdict is Verdict.NOT_RUN:
@@ -356,6 +359,11 @@
     return True
 
 
+def _never() -> bool:
+    """Do not let the request be sent once more."""
+    return False
+
+
 def _ignore() -> None:
     """Take no notice of the first byte."""
 
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -13,7 +13,13 @@
 from sesamespoke.attempts import Attempt, Reply
 from sesamespoke.events import EventRelay
 from sesamespoke.metrics import Metrics
-from sesamespoke.retries import Situation, Step, next_step, worse
+from sesamespoke.retries import (
+    MIN_TIME_LEFT_SECONDS,
+    Situation,
+    Step,
+    next_step,
+    worse,
+)
 from sesamespoke.serving.admission import WaitingRoom
 from sesamespoke.serving.chooser import Chooser, Reservation
 from sesamespoke.serving.exchange import Exchange, Line
@@ -150,6 +156,7 @@
             exchange.keeper_address = grant.placed.keeper.address
         self._set_patience(exchange)
         exchange.may_send = lambda: parts.chooser.is_usable(grant)
+        exchange.may_resend = lambda: self._may_resend(grant)
         exchange.on_first_byte = lambda: parts.chooser.loads.note_read(
             grant.running
         )
@@ -167,6 +174,14 @@
             self._tell_failed(grant, exchange, attempt, step)
         return attempt, step
 
+    def _may_resend(self, grant: Reservation) -> bool:
+        """Return whether the same endpoint may get the request once more."""
+        left = self._job.deadline - self._loop.time()
+        may_send = self._parts.chooser.may_send_again(grant)
+        if left < MIN_TIME_LEFT_SECONDS or not may_send:
+            return False
+        return self._parts.budget(self._job.service).spend()
+
     def _set_patience(self, exchange: Exchange) -> None:
         """Let an endpoint go that is silent, where another may be asked."""
         route = self._job.route
@@ -181,7 +196,7 @@
     def _follow(self, exchange: Exchange, attempt: Attempt) -> Step:
         """Return what follows an attempt."""
         job, progress = self._job, self._progress
-        progress.sends += 1
+        progress.sends += 1 + exchange.resent
         progress.runs += attempt.verdict is not Verdict.NOT_RUN
         progress.verdict = worse(progress.verdict, attempt.verdict)
         runs_left = progress.runs < job.route.max_attempts
@@ -236,6 +251,7 @@
                 request_id=self._job.request_id,
                 endpoint=endpoint.name,
                 why='a kept connection had closed',
+                **parts.budget(self._job.service).standing(),
             )
 
     def _tell_failed(
