Give a router that has just started no part of the retries' slack yet

Cause: the window of what was spent lives in the process. One that starts anew has its whole part of the slack again, though its predecessor may have used that part seconds before.

Evidence: the sends in the logs equal the repeats that the engines saw, and the broken window spans the restart of all routers.

Change: until a window has passed since its start, a router pays its retries from the fraction of the fresh requests it has seen itself. Why it works: two processes of one host never both hold its part of the slack in one window.

Ruled out: asking peers for what the predecessor spent; they may be cut off or have restarted as well.

Routed tests play a router that has run for long: their first requests meet the slack.

--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -56,6 +56,7 @@
         """Create the parts; call within the event loop that runs them."""
         self.cfg = cfg
         self._clock = asyncio.get_running_loop().time
+        self.started_at = self._clock()
         self.metrics = Metrics(cfg.host)
         self.timeline = Timeline(cfg.host, cfg.data_centre)
         self.peers = PeerStreams(
@@ -81,7 +82,7 @@
         )
         self._shares = FairShares(self._clock, self._token_rate)
         self._rooms: dict[str, WaitingRoom[Reservation]] = {}
-        self.loads = PeerLoads(
+        self._loads = PeerLoads(
             self.peers,
             self.chooser.loads,
             self._shares,
@@ -142,7 +143,7 @@
         await self.peers.start()
         self._tasks = [
             *self.follower.tasks(),
-            asyncio.create_task(self.loads.run()),
+            asyncio.create_task(self._loads.run()),
             asyncio.create_task(self.pressure.run()),
         ]
         log.info('started', host=self.cfg.host, zone=self.cfg.data_centre)
@@ -162,8 +163,8 @@
         room = self._rooms.get(service)
         if room is None:
             room = WaitingRoom(self._shares, self._clock, self.chooser.release)
-            room.on_ask = self.loads.note_ask
-            room.on_grant = self.loads.note_grant
+            room.on_ask = self._loads.note_ask
+            room.on_grant = self._loads.note_grant
             self._rooms[service] = room
         return room
 
@@ -175,7 +176,12 @@
     def _budget(self, service: str) -> RetryShare:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryShare(self.cfg.retries, self._clock, self.size.count)
+            budget = RetryShare(
+                self.cfg.retries,
+                self._clock,
+                self.size.count,
+                self.started_at,
+            )
             self._budgets[service] = budget
         return budget
 
--- a/src/sesamespoke/serving/shares.py
+++ b/src/sesamespoke/serving/shares.py
@@ -6,6 +6,7 @@
 leaves unused is the price.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -41,16 +42,22 @@
 
 
 class RetryShare:
-    """One service's retries at this router, in a sliding window."""
+    """One service's retries at this router, in a sliding window.
+
+    A process that has just started has no part of the slack until a window
+    has passed: the one before it may have used that part up.
+    """
 
     def __init__(
         self,
         cfg: RetryBounds,
         clock: Callable[[], float],
         routers: Callable[[], int],
+        started_at: float = -math.inf,
     ) -> None:
-        """Start with an empty window."""
+        """Start with an empty window in a process that began then."""
         self.cfg = cfg
+        self._started_at = started_at
         self._clock = clock
         self._routers = routers
         self._buckets: deque[_Bucket] = deque()
@@ -78,8 +85,14 @@
         }
 
     def _allowed(self) -> float:
-        share = self.cfg.slack / max(1, self._routers())
-        return SAFE_FRACTION * (self.cfg.ratio * self._fresh() + share)
+        earned = self.cfg.ratio * self._fresh()
+        return SAFE_FRACTION * (earned + self._slack())
+
+    def _slack(self) -> float:
+        """Return this router's part of the slack."""
+        if self._clock() - self._started_at < self.cfg.window:
+            return 0
+        return self.cfg.slack / max(1, self._routers())
 
     def _fresh(self) -> int:
         return sum(each.fresh for each in self._buckets)
--- a/tests/support_routed.py
+++ b/tests/support_routed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from unittest import mock
@@ -157,6 +158,7 @@
 
 @contextlib.asynccontextmanager
 async def opened(cfg: ServingSettings = CFG) -> AsyncIterator[Fleet]:
+    """Yield a router that has run for long, on a machine that keeps up."""
     with mock.patch.object(LoopPressure, 'run', measure_nothing):
         async with opened_with_lag(cfg) as fleet:
             yield fleet
@@ -168,6 +170,7 @@
     client = KvStore(store.start())
     store.put('op/config', CONFIG)
     router = RoutedRouter(cfg, PlatformFeeds(client), NAMES, read_head)
+    router.started_at = -math.inf
     running = asyncio.create_task(router.run())
     fleet = Fleet(store, client, router, running)
     try:
