Count routers out of sight, and none while the store has not listed this one

Cause: the slack was divided by the routers that are seen or listed now. A router that has just started sees itself; its first reading of the list came before the others' entries and the next 5 s later; leases run out while a partition lasts, and those that are cut off go on with the count they had.

Evidence: routers_counted 1 on all nine from 17.5 to 22.6 s, 565 decisions with that count; 6 on one side and 9 on the other during the cut.

Change: FleetSize counts every router that was there in the last ten minutes, and says nothing before the store has listed this host; the list is read every 0.3 s until then. Without a count there is no part of the slack, and cold endpoints, whose bound is divided the same way, get nothing. Why it works: of two routers that both count, the one listed later has seen the other.

Price: machines that left for good count for ten minutes.

--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -63,7 +63,7 @@
         catalog: Callable[[], Catalog | None],
         directory: Directory,
         clock: Callable[[], float],
-        routers: Callable[[], int],
+        routers: Callable[[], int | None],
         data_centre: str = '',
     ) -> None:
         """Start without any load; ``data_centre`` is the host's own."""
--- a/src/sesamespoke/serving/following.py
+++ b/src/sesamespoke/serving/following.py
@@ -234,9 +234,14 @@
             if not isinstance(listed, StoreUnavailable):
                 rows = [row for row in map(_read_host, listed) if row]
                 self._hosts.take({'entry_hosts': rows})
-            feeds = self._cfg.feeds
-            is_reader = self._news.is_reader()
-            await asyncio.sleep(feeds.hosts if is_reader else feeds.quiet_hosts)
+            await asyncio.sleep(self._hosts_pause())
+
+    def _hosts_pause(self) -> float:
+        """Return the seconds to the next reading; few until it lists us."""
+        feeds = self._cfg.feeds
+        if self._cfg.host not in self._hosts.hosts:
+            return min(RETRY_SECONDS, feeds.hosts)
+        return feeds.hosts if self._news.is_reader() else feeds.quiet_hosts
 
     async def _announce(self) -> None:
         """Keep this host's entry in the store under a lease."""
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -62,7 +62,9 @@
         self.peers = PeerStreams(
             peer_settings(cfg), self.metrics, self.timeline
         )
-        self.size = FleetSize(self.peers, self.peers.host_list, log.info)
+        self.size = FleetSize(
+            self.peers, self.peers.host_list, self._clock, log.info
+        )
         self.directory = Directory(self._clock)
         self.follower = Follower(
             cfg,
--- a/src/sesamespoke/serving/shares.py
+++ b/src/sesamespoke/serving/shares.py
@@ -45,14 +45,15 @@
     """One service's retries at this router, in a sliding window.
 
     A process that has just started has no part of the slack until a window
-    has passed: the one before it may have used that part up.
+    has passed: the one before it may have used that part up. Nor has one that
+    does not know how many ``routers`` share the slack.
     """
 
     def __init__(
         self,
         cfg: RetryBounds,
         clock: Callable[[], float],
-        routers: Callable[[], int],
+        routers: Callable[[], int | None],
         started_at: float = -math.inf,
     ) -> None:
         """Start with an empty window in a process that began then."""
@@ -90,9 +91,11 @@
 
     def _slack(self) -> float:
         """Return this router's part of the slack."""
-        if self._clock() - self._started_at < self.cfg.window:
+        routers = self._routers()
+        has_begun = self._clock() - self._started_at < self.cfg.window
+        if has_begun or not routers:
             return 0
-        return self.cfg.slack / max(1, self._routers())
+        return self.cfg.slack / routers
 
     def _fresh(self) -> int:
         return sum(each.fresh for each in self._buckets)
@@ -114,13 +117,16 @@
 
 
 class ColdGate:
-    """Spaces out the requests to endpoints that are cold."""
+    """Spaces out the requests to endpoints that are cold.
+
+    It is closed while the number of ``routers`` is not known.
+    """
 
     def __init__(
         self,
         host: str,
         clock: Callable[[], float],
-        routers: Callable[[], int],
+        routers: Callable[[], int | None],
     ) -> None:
         """Start with no endpoint used."""
         self._host = host
@@ -135,29 +141,31 @@
         """
         if rate <= 0:
             return True
+        routers = self._routers()
+        if not routers:
+            return False
         next_at = self._next_at.get(endpoint)
         if next_at is None:
-            next_at = self._clock() + self._first_turn(endpoint, rate)
+            turn = self._first_turn(endpoint)
+            next_at = self._clock() + routers / rate * turn
             self._next_at[endpoint] = next_at
         return self._clock() >= next_at
 
     def note_sent(self, endpoint: str, rate: float) -> None:
         """Count a request that goes to a cold endpoint."""
-        if rate > 0:
-            self._next_at[endpoint] = self._clock() + self._gap(rate)
+        routers = self._routers()
+        if rate > 0 and routers:
+            self._next_at[endpoint] = self._clock() + routers / rate
 
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint that has gone."""
         self._next_at.pop(endpoint, None)
 
-    def _gap(self, rate: float) -> float:
-        return max(1, self._routers()) / rate
-
-    def _first_turn(self, endpoint: str, rate: float) -> float:
-        """Return the seconds to the first request of this router.
+    def _first_turn(self, endpoint: str) -> float:
+        """Return the part of a turn that this router's first request waits.
 
         All routers learn of a cold endpoint at about the same time; their
-        first requests are spread over the gap by a hash.
+        first requests are spread by a hash.
         """
         point = xxhash.xxh3_64_intdigest(f'{self._host} {endpoint}'.encode())
-        return self._gap(rate) * point / HASH_SPAN
+        return point / HASH_SPAN
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -623,6 +623,7 @@
 def test_a_change_of_the_routers_that_are_counted_is_told() -> None:
     async def steps(fleet: Fleet) -> None:
         row = {'host': 'h-2', 'data_centre': 'land', 'peers': '10.0.0.2:7'}
+        await until(lambda: fleet.router.size.count() == 1)
         with structlog.testing.capture_logs() as lines:
             fleet.store.put(f'{HOST_PREFIX}h-2', row)
             await until(lambda: fleet.router.size.count() == 2)
--- a/tests/test_serving_shares.py
+++ b/tests/test_serving_shares.py
@@ -83,6 +83,15 @@
         assert sum(at > clock.now - 1 for at in sent) <= COLD_BOUND
 
 
+def test_a_router_that_knows_no_others_sends_nothing_to_cold_endpoints() -> (
+    None
+):
+    """Each of nine that had just started took the whole rate for itself."""
+    gate = ColdGate('h', Clock(), lambda: None)
+    assert not gate.is_open('e', COLD_RATE)
+    assert gate.is_open('e', 0)
+
+
 def test_a_service_without_a_cold_rate_is_not_held_back() -> None:
     gate = ColdGate('h', Clock(), lambda: ROUTERS)
     gate.note_sent('e', 0)
