Count a crash on a kept connection against the request that ran there

Cause: a kept connection that closed without an answer was taken for an idle one. The send that followed found no listener, which is not a crash; so a crash was counted only on new connections, and streams and repeatable calls, which use kept ones, could crash one engine after another.

Change: after such a close the endpoint counts as broken unless it is still there under its name for the second send.

--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -126,9 +126,7 @@
         attempt = await self._try_once(fresh=not may_reuse)
         if attempt is _STALE and self.may_resend():
             self.resent = True
-            attempt = await self._try_once(fresh=True)
-            if attempt.verdict is Verdict.NOT_RUN:
-                attempt = replace(attempt, verdict=Verdict.MAY_HAVE_RUN)
+            attempt = _follow_stale(await self._try_once(fresh=True))
         return replace(attempt, first_token_ms=self._first_byte_ms())
 
     async def _try_once(self, *, fresh: bool) -> Attempt:
@@ -351,9 +349,25 @@
     Outcome.BROKEN,
     reason=ENDPOINT_FAILED,
     detail='a kept connection had closed',
+    broke=True,
 )
 
 
+def _follow_stale(attempt: Attempt) -> Attempt:
+    """Return a second send's result, as the first may have run as well.
+
+    An endpoint that is not there any more did not close an idle connection:
+    it broke while it had the request.
+    """
+    if attempt.verdict is not Verdict.NOT_RUN:
+        return attempt
+    return replace(
+        attempt,
+        verdict=Verdict.MAY_HAVE_RUN,
+        broke=attempt in {NOT_CONNECTED, OTHER_INCARNATION},
+    )
+
+
 def _always() -> bool:
     """Allow the request to be sent."""
     return True
