Acquit a request of crashes once it is answered whole

Cause: each broken connection counted against a request's method, path, account and body for ten minutes, answered or not, so that a popular path at an endpoint that breaks now and then was refused everywhere.

Change: an answer forgets the crashes, on all routers, as on the product's own interface. A request that crashes endpoints is never answered.

--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -66,6 +66,9 @@
     def note_crash(self, digest: bytes, endpoint: str) -> None:
         """Record that an endpoint broke while it ran a request."""
 
+    def acquit(self, digest: bytes) -> None:
+        """Forget the crashes of a request that was answered whole."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServingParts:
@@ -239,6 +242,8 @@
             )
         if attempt.broke and exchange.sent:
             parts.suspects.note_crash(self._job.digest, endpoint.name)
+        elif attempt.verdict is Verdict.RAN:
+            parts.suspects.acquit(self._job.digest)
         parts.metrics.count(
             'attempts',
             service=self._job.service,
--- a/src/sesamespoke/serving/suspects.py
+++ b/src/sesamespoke/serving/suspects.py
@@ -27,6 +27,10 @@
         """Return whether a request is not to be sent any more."""
         return len(self._quarantine.crashed(digest)) >= CRASHES_TO_REFUSE
 
+    def acquit(self, digest: bytes) -> None:
+        """Forget the crashes of a request that was answered whole."""
+        self._quarantine.release(digest)
+
     def note_crash(self, digest: bytes, endpoint: str) -> None:
         """Record a crash; each counts, also of the same endpoint."""
         self._count += 1
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -132,6 +132,28 @@
     play(steps)
 
 
+def test_a_request_that_is_answered_is_not_suspected_of_crashes() -> None:
+    answers = 0
+
+    async def break_each_second(asked: Asked, writer: Writer) -> None:
+        nonlocal answers
+        answers += 1
+        if answers % 2:
+            writer.transport.abort()
+        else:
+            rows = ('Content-Length: 0', 'Connection: close')
+            writer.write(head_bytes(asked, 200, *rows))
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', break_each_second)
+        await fleet.add_engine('i-2', 'desk', break_each_second)
+        for _ in range(2 * CRASHES):
+            caller = await fleet.connect()
+            assert (await caller.ask('/l/1')).status == 200
+
+    play(steps)
+
+
 @pytest.mark.parametrize('kept', [False, True])
 def test_no_more_endpoints_run_a_request_than_its_route_allows(
     kept: bool,
