Pay for calls sent again on the product's own interface as well

Cause: the exchange of the product's own interface sent a call once more by itself when a kept connection had closed, like that of the routed services: the same fault, found by looking for it elsewhere. One failed call reached an endpoint twice without a token, and a paid retry came on top.

Change: the target says whether the call may go out again; a token of the retry budget pays for it. Without one, the call may have run, and the endpoint counts as broken.

The test failed before (three and four arrivals instead of two and three).

--- a/src/sesamespoke/attempts.py
+++ b/src/sesamespoke/attempts.py
@@ -64,13 +64,16 @@
 class Target:
     """Where an attempt goes, and the stream that it continues.
 
-    ``may_send`` is asked when a connection stands, before the first byte.
+    ``may_send`` is asked when a connection stands, before the first byte, and
+    ``may_resend`` before the request goes out once more because a kept
+    connection had closed: the endpoint may have got it.
     """
 
     endpoint_name: str
     url: str
     relay: EventRelay
     may_send: Callable[[], bool] = lambda: True
+    may_resend: Callable[[], bool] = bool
 
 
 class Failure(Exception):
@@ -104,6 +107,15 @@
 )
 
 
+STALE = Attempt(
+    Verdict.MAY_HAVE_RUN,
+    Outcome.BROKEN,
+    reason=ENDPOINT_FAILED,
+    detail='a kept connection had closed',
+    broke=True,
+)
+
+
 def failed(failure: Failure, usage: Usage, last_id: bytes) -> Attempt:
     """Return the result of an exchange that ended early."""
     late = failure.reason is TIMED_OUT
--- a/src/sesamespoke/calls.py
+++ b/src/sesamespoke/calls.py
@@ -127,7 +127,13 @@
 
     def _target(self, chosen: Chosen) -> Target:
         name = chosen.slot.endpoint_name
-        return Target(name, chosen.url, self._relay, self._may_send)
+        return Target(
+            name,
+            chosen.url,
+            self._relay,
+            self._may_send,
+            self._may_resend,
+        )
 
     def _may_send(self) -> bool:
         """Return whether there is time, and a claim where one is needed."""
@@ -135,6 +141,15 @@
         held = self._claim is None or self._claim.may_send(now)
         return held and self._time_left() > 0
 
+    def _may_resend(self) -> bool:
+        """Return whether the same endpoint may get the call once more."""
+        is_paid = self._may_send() and self._parts.budget.spend()
+        if is_paid:
+            self._parts.metrics.count(
+                'retries', service=self._work.service_name
+            )
+        return is_paid
+
     def _cancel(self, slot: Slot, exchange: Exchange) -> None:
         """Settle an attempt that was cancelled; it may have run."""
         self.verdict = worse(self.verdict, Verdict.MAY_HAVE_RUN)
--- a/src/sesamespoke/exchange.py
+++ b/src/sesamespoke/exchange.py
@@ -13,6 +13,7 @@
 from sesamespoke.attempts import (
     NOT_CONNECTED,
     NOT_SENT,
+    STALE,
     Attempt,
     Failure,
     Reply,
@@ -76,7 +77,7 @@
         try:
             attempt = await self._try_once(fresh=not may_reuse)
         except StaleConnectionError:
-            attempt = _follow_stale(await self._try_once(fresh=True))
+            attempt = await self._send_again()
         seconds = self._loop.time() - self._started_at
         return replace(
             attempt,
@@ -89,6 +90,12 @@
         seconds = self._loop.time() - self._started_at
         return replace(self._metered(), seconds=seconds)
 
+    async def _send_again(self) -> Attempt:
+        """Send once more on a new connection, if the request may go out."""
+        if not self._target.may_resend():
+            return STALE
+        return _follow_stale(await self._try_once(fresh=True))
+
     async def _try_once(self, *, fresh: bool) -> Attempt:
         conn = await self._pool.take(self._target.url, fresh=fresh)
         if conn is None:
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -14,6 +14,7 @@
 from sesamespoke.answers import Answer, end_to_end, without
 from sesamespoke.attempts import (
     NOT_CONNECTED,
+    STALE,
     Attempt,
     Failure,
     Reply,
@@ -124,7 +125,7 @@
         """
         may_reuse = self._job.route.may_repeat
         attempt = await self._try_once(fresh=not may_reuse)
-        if attempt is _STALE and self.may_resend():
+        if attempt is STALE and self.may_resend():
             self.resent = True
             attempt = _follow_stale(await self._try_once(fresh=True))
         return replace(attempt, first_token_ms=self._first_byte_ms())
@@ -165,7 +166,7 @@
         async with asyncio.timeout_at(patience):
             head = await self._read_head(conn)
         if head is None:
-            return _STALE
+            return STALE
         body = BodyReader(head, self._job.method, ends_by_close=True)
         if head.status == OK and self._job.route.kind is CallKind.STREAM:
             attempt = await self._pass_events_on(conn, head, body)
@@ -344,13 +345,6 @@
     reason=ENDPOINT_REFUSED,
     detail='the endpoint left before the request was sent',
 )
-_STALE = Attempt(
-    Verdict.MAY_HAVE_RUN,
-    Outcome.BROKEN,
-    reason=ENDPOINT_FAILED,
-    detail='a kept connection had closed',
-    broke=True,
-)
 
 
 def _follow_stale(attempt: Attempt) -> Attempt:
--- a/tests/test_exchange_cuts.py
+++ b/tests/test_exchange_cuts.py
@@ -129,6 +129,31 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(('tokens', 'sends'), [(0, 2), (1, 3)])
+def test_a_call_is_sent_again_on_a_new_connection_only_if_paid(
+    tokens: int, sends: int
+) -> None:
+    async def scenario() -> None:
+        async with open_path(answer_first_of_two) as path:
+            assert (await ask_told(path, chat_bytes())).status == 200
+            path.parts.budget.tokens = tokens
+            told = await ask_told(path, chat_bytes())
+            assert told.verdict == 'may have run'
+            assert len(path.received) == sends
+
+    async def answer_first_of_two(
+        got: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        served.append(got)
+        if len(served) == 1:
+            await answer_well(got, writer)
+        else:
+            writer.close()
+
+    served: list[Received] = []
+    run(scenario())
+
+
 def cut_stream(got: Received) -> bytes:
     """A stream that ends after one event and a part of another."""
     start = stream_head(got) + chunk(token_event(0, 'rear'))
