Hold retries to the bound in every window, from when they are sent

Cause: what was spent counted from the decision on, in a window that looks back from now. A retry waits for room and for a connection and arrives up to seconds later; and the fresh requests of two windows paid for retries that went out in one. Both let more arrive in some window than operators allow.

Change: a retry counts while it waits and for a window from when it leaves; it is given back if it never leaves. The retries sent from any moment on are held against the fresh requests around that moment, one of the windows that operators may count by, so that what routers keep alone adds up.

Ruled out: counting by the plain window from that moment on; right after a pause nothing would be allowed.

The budget's test now uses the operators' base instead of a wider one.

--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -128,7 +128,7 @@
         """Use changed settings; addresses change only with a restart."""
         self.cfg = cfg
         for budget in self._budgets.values():
-            budget.cfg = cfg.retries
+            budget.take_bounds(cfg.retries)
 
     @property
     def is_ready(self) -> bool:
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -24,7 +25,7 @@
 from sesamespoke.serving.chooser import Chooser, Reservation
 from sesamespoke.serving.exchange import Exchange, Line
 from sesamespoke.serving.job import Job
-from sesamespoke.serving.shares import RetryShare
+from sesamespoke.serving.shares import RetryPayment, RetryShare
 from sesamespoke.verdicts import (
     ENDPOINT_FAILED,
     TIMED_OUT,
@@ -118,12 +119,17 @@
         self._relay = EventRelay()
         self._progress = _Progress()
         self._placing: dict[str, object] = {}
+        self._payment = RetryPayment(parts.budget(job.service))
         self._loop = asyncio.get_running_loop()
 
     async def serve(self) -> Answer | Refusal | None:
         """Return the final answer, or None if all of it was passed on."""
+        self._parts.budget(self._job.service).earn()
+        with contextlib.closing(self._payment):
+            return await self._serve()
+
+    async def _serve(self) -> Answer | Refusal | None:
         job, progress = self._job, self._progress
-        self._parts.budget(job.service).earn()
         room = self._parts.rooms(job.service)
         while True:
             if self._parts.suspects.is_refused(job.digest):
@@ -158,7 +164,7 @@
         if grant.placed.keeper is not None:
             exchange.keeper_address = grant.placed.keeper.address
         self._set_patience(exchange)
-        exchange.may_send = lambda: parts.chooser.is_usable(grant)
+        exchange.may_send = lambda: self._may_send(grant)
         exchange.may_resend = lambda: self._may_resend(grant)
         exchange.on_first_byte = lambda: parts.chooser.loads.note_read(
             grant.running
@@ -177,13 +183,20 @@
             self._tell_failed(grant, exchange, attempt, step)
         return attempt, step
 
+    def _may_send(self, grant: Reservation) -> bool:
+        """Return whether the endpoint may be sent the request now."""
+        if not self._parts.chooser.is_usable(grant):
+            return False
+        self._payment.note_sent()
+        return True
+
     def _may_resend(self, grant: Reservation) -> bool:
         """Return whether the same endpoint may get the request once more."""
         left = self._job.deadline - self._loop.time()
         may_send = self._parts.chooser.may_send_again(grant)
         if left < MIN_TIME_LEFT_SECONDS or not may_send:
             return False
-        return self._parts.budget(self._job.service).spend()
+        return self._payment.spend()
 
     def _set_patience(self, exchange: Exchange) -> None:
         """Let an endpoint go that is silent, where another may be asked."""
@@ -216,11 +229,9 @@
         left = job.deadline - self._loop.time()
         return next_step(situation, left, self._budget_of(exchange))
 
-    def _budget_of(self, exchange: Exchange) -> RetryShare | _Free:
+    def _budget_of(self, exchange: Exchange) -> RetryPayment | _Free:
         """Return what pays for the attempt that follows."""
-        if exchange.sent:
-            return self._parts.budget(self._job.service)
-        return _Free()
+        return self._payment if exchange.sent else _Free()
 
     def _note(
         self,
@@ -256,7 +267,7 @@
                 request_id=self._job.request_id,
                 endpoint=endpoint.name,
                 why='a kept connection had closed',
-                **parts.budget(self._job.service).standing(),
+                **self._payment.standing(),
             )
 
     def _tell_failed(
--- a/src/sesamespoke/serving/shares.py
+++ b/src/sesamespoke/serving/shares.py
@@ -7,16 +7,20 @@
 """
 
 import math
-from collections import deque
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import accumulate
 
 import xxhash
 
 from sesamespoke.serving.catalog import HASH_SPAN
 
-BUCKET_SECONDS = 0.5
+BUCKETS = 20
 """How finely the window of the retry budget slides."""
+HALF = BUCKETS // 2
+TRANSIT_SECONDS = 0.5
+"""What a request may take to an endpoint, once it was sent."""
 SAFE_FRACTION = 0.8
 """The part of a bound that is used, for clocks that differ."""
 
@@ -36,13 +40,18 @@
 
 @dataclass(slots=True)
 class _Bucket:
-    began_at: float
+    """What happened in one part of the window."""
+
     fresh: int = 0
-    spent: int = 0
+    sent: int = 0
 
 
 class RetryShare:
-    """One service's retries at this router, in a sliding window.
+    """One service's retries at this router, in every window of its time.
+
+    The retries sent from any moment on are held against the fresh requests
+    of the window around that moment, which operators may choose for their
+    count. What each router keeps then adds up to the bound for the fleet.
 
     A process that has just started has no part of the slack until a window
     has passed: the one before it may have used that part up. Nor has one that
@@ -57,63 +66,136 @@
         started_at: float = -math.inf,
     ) -> None:
         """Start with an empty window in a process that began then."""
-        self.cfg = cfg
+        self._cfg = cfg
         self._started_at = started_at
         self._clock = clock
         self._routers = routers
-        self._buckets: deque[_Bucket] = deque()
+        self._buckets: defaultdict[int, _Bucket] = defaultdict(_Bucket)
+        self._unsent = 0
+
+    def take_bounds(self, cfg: RetryBounds) -> None:
+        """Use other bounds; begin anew where the window has changed."""
+        if cfg.window != self._cfg.window:
+            self._buckets.clear()
+            self._started_at = self._clock()
+        self._cfg = cfg
 
     def earn(self) -> None:
         """Count a fresh request."""
-        self._bucket().fresh += 1
+        self._buckets[self._now()].fresh += 1
 
     def spend(self) -> bool:
-        """Take a retry; return whether the budget allows it."""
-        bucket = self._bucket()
-        if self._spent() + 1 > self._allowed():
+        """Take a retry; return whether the budget allows it.
+
+        It counts until ``give_back``, or for a window from ``note_sent`` on.
+        """
+        if self._left() < 1:
             return False
-        bucket.spent += 1
+        self._unsent += 1
         return True
 
+    def note_sent(self) -> None:
+        """Note that a retry that was taken leaves for an endpoint now."""
+        self._unsent -= 1
+        self._buckets[self._now()].sent += 1
+
+    def give_back(self) -> None:
+        """Give back a retry that was taken and not sent."""
+        self._unsent -= 1
+
     def standing(self) -> dict[str, object]:
         """Return what decides on a retry, for the log."""
-        self._bucket()
+        buckets = self._buckets.values()
         return {
-            'retries_spent': self._spent(),
-            'retries_allowed': round(self._allowed(), 1),
-            'fresh': self._fresh(),
+            'retries_sent': sum(each.sent for each in buckets),
+            'retries_waiting': self._unsent,
+            'retries_left': round(self._left(), 1),
+            'fresh': sum(each.fresh for each in buckets),
             'routers': self._routers(),
         }
 
-    def _allowed(self) -> float:
-        earned = self.cfg.ratio * self._fresh()
-        return SAFE_FRACTION * (earned + self._slack())
+    def _left(self) -> float:
+        """Return how many more retries every window would bear."""
+        newest = self._now()
+        transit = math.ceil(TRANSIT_SECONDS / self._bucket_seconds())
+        oldest = newest - BUCKETS - transit
+        self._drop_before(oldest - HALF)
+        fresh = reversed(self._sum_fresh(oldest, newest))
+        slack = self._slack()
+        sent = self._unsent
+        least = math.inf
+        numbers = range(newest, oldest - 1, -1)
+        for number, around in zip(numbers, fresh, strict=True):
+            sent += self._at(number).sent
+            allowed = self._cfg.ratio * around + slack
+            least = min(least, SAFE_FRACTION * allowed - sent)
+        return least
+
+    def _sum_fresh(self, oldest: int, newest: int) -> list[int]:
+        """Return the fresh requests of the window around each bucket.
+
+        Of the buckets at its edges, which it may hold in part, it has none.
+        """
+        numbers = range(oldest - HALF, newest + HALF)
+        counts = (self._at(number).fresh for number in numbers)
+        totals = list(accumulate(counts, initial=0))
+        width = 2 * HALF - 1
+        return [
+            upto - before
+            for before, upto in zip(
+                totals[1:], totals[1 + width :], strict=False
+            )
+        ]
 
     def _slack(self) -> float:
         """Return this router's part of the slack."""
         routers = self._routers()
-        has_begun = self._clock() - self._started_at < self.cfg.window
+        has_begun = self._clock() - self._started_at < self._cfg.window
         if has_begun or not routers:
             return 0
-        return self.cfg.slack / routers
+        return self._cfg.slack / routers
+
+    def _now(self) -> int:
+        return math.floor(self._clock() / self._bucket_seconds())
 
-    def _fresh(self) -> int:
-        return sum(each.fresh for each in self._buckets)
+    def _bucket_seconds(self) -> float:
+        return self._cfg.window / BUCKETS
 
-    def _spent(self) -> int:
-        return sum(each.spent for each in self._buckets)
+    def _at(self, number: int) -> _Bucket:
+        return self._buckets.get(number, _EMPTY)
 
-    def _bucket(self) -> _Bucket:
-        now = self._clock()
-        while (
-            self._buckets and self._buckets[0].began_at < now - self.cfg.window
-        ):
-            self._buckets.popleft()
-        newest = self._buckets[-1] if self._buckets else None
-        if newest is None or now - newest.began_at >= BUCKET_SECONDS:
-            newest = _Bucket(now)
-            self._buckets.append(newest)
-        return newest
+    def _drop_before(self, oldest: int) -> None:
+        old = tuple(each for each in self._buckets if each < oldest)
+        for number in old:
+            del self._buckets[number]
+
+
+class RetryPayment:
+    """What one request takes from a budget, and gives back if unused."""
+
+    def __init__(self, share: RetryShare) -> None:
+        """Start with nothing taken."""
+        self.standing = share.standing
+        self._share = share
+        self._is_taken = False
+
+    def spend(self) -> bool:
+        """Take a retry; return whether the budget allows it."""
+        if not self._is_taken:
+            self._is_taken = self._share.spend()
+        return self._is_taken
+
+    def note_sent(self) -> None:
+        """Note that the request leaves for an endpoint now."""
+        if self._is_taken:
+            self._is_taken = False
+            self._share.note_sent()
+
+    def close(self) -> None:
+        """Give back what was not used."""
+        if self._is_taken:
+            self._is_taken = False
+            self._share.give_back()
 
 
 class ColdGate:
@@ -169,3 +251,6 @@
         """
         point = xxhash.xxh3_64_intdigest(f'{self._host} {endpoint}'.encode())
         return point / HASH_SPAN
+
+
+_EMPTY = _Bucket()
--- a/tests/test_retry_budget_model.py
+++ b/tests/test_retry_budget_model.py
@@ -9,11 +9,7 @@
 from dataclasses import dataclass, field
 
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    invariant,
-    rule,
-)
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from support_serving_jobs import Clock
 
 from sesamespoke.links import Member, View
@@ -29,6 +25,8 @@
 NEVER = -1000.0
 
 hosts = st.sampled_from(HOSTS)
+pauses = st.sampled_from((0.0, 1.0, 2.0))
+"""A retry waits for room, and for a connection."""
 
 
 @dataclass
@@ -82,6 +80,7 @@
         )
         self.share = RetryShare(BOUNDS, clock, self.size.count, clock())
         self.list_at = clock()
+        self.waiting: list[tuple[float, int]] = []
 
 
 class Fleet(RuleBasedStateMachine):
@@ -106,20 +105,28 @@
             self.clock.now += TICK
             self.follow()
 
-    @rule(host=hosts, requests=st.integers(1, 60), failing=st.integers(0, 200))
-    def load(self, host: str, requests: int, failing: int) -> None:
-        share = self.processes[host].share
+    @rule(
+        host=hosts,
+        requests=st.integers(1, 60),
+        failing=st.integers(0, 100),
+        pause=pauses,
+    )
+    def load(
+        self, host: str, requests: int, failing: int, pause: float
+    ) -> None:
+        """Let requests fail; their retries leave after a pause."""
+        process = self.processes[host]
         for _ in range(requests):
-            share.earn()
+            process.share.earn()
             self.fresh.append(self.clock.now)
-        for _ in range(failing):
-            if share.spend():
-                self.repeats.append(self.clock.now)
+        taken = sum(process.share.spend() for _ in range(failing))
+        process.waiting.append((self.clock.now + pause, taken))
+        self.send_due(process)
 
-    @rule()
-    def fail_everywhere(self) -> None:
+    @rule(requests=st.sampled_from((10, 100)), pause=pauses)
+    def fail_everywhere(self, requests: int, pause: float) -> None:
         for host in HOSTS:
-            self.load(host, 10, 200)
+            self.load(host, requests, 100, pause)
 
     @rule(host=hosts)
     def restart(self, host: str) -> None:
@@ -158,6 +165,7 @@
             host for host, ends_at in self.leases.items() if ends_at > now
         )
         for host, process in self.processes.items():
+            self.send_due(process)
             process.seen.take(self.side_of(host))
             if self.reaches_store(host) and now >= process.list_at:
                 process.listed.take(listed)
@@ -165,6 +173,14 @@
                 pause = LIST_SECONDS if known else UNLISTED_SECONDS
                 process.list_at = now + pause
 
+    def send_due(self, process: Process) -> None:
+        now = self.clock.now
+        due = [row for row in process.waiting if row[0] <= now]
+        process.waiting = [row for row in process.waiting if row[0] > now]
+        for _ in range(sum(count for _, count in due)):
+            process.share.note_sent()
+            self.repeats.append(now)
+
     def side_of(self, host: str) -> frozenset[str]:
         own = {host[0]} if host[0] in self.cut else set('abc') - self.cut
         return frozenset(other for other in HOSTS if other[0] in own)
@@ -197,5 +213,16 @@
     fleet.cut_zone('a')
     fleet.cut_zone('b')
     fleet.wait(2 * LEASE + LIST_SECONDS)
-    fleet.fail_everywhere()
+    fleet.fail_everywhere(10, 0)
+    fleet.keeps_the_bound()
+
+
+def test_two_bursts_in_two_windows_keep_the_bound_of_each() -> None:
+    """Retries earned by both bursts went out in a window that had one."""
+    fleet = Fleet()
+    fleet.fail_everywhere(100, 1)
+    fleet.wait(9)
+    fleet.fail_everywhere(100, 0)
+    fleet.keeps_the_bound()
+    fleet.wait(1)
     fleet.keeps_the_bound()
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -593,10 +593,10 @@
             line for line in lines if line['event'] == 'attempt_failed'
         )
         assert (first['next'], last['next']) == ('again', 'final')
-        assert last['retries_spent'] == 1
+        assert (first['retries_waiting'], last['retries_sent']) == (1, 1)
         assert last['routers'] == 1
         assert first['fresh'] == 1
-        assert first['retries_allowed'] > 1
+        assert first['retries_left'] > 1
 
     play(steps)
 
--- a/tests/test_serving_shares.py
+++ b/tests/test_serving_shares.py
@@ -23,6 +23,14 @@
 )
 
 
+def send_again(share: RetryShare) -> bool:
+    """Take a retry and send it at once; return whether there was one."""
+    if not share.spend():
+        return False
+    share.note_sent()
+    return True
+
+
 @given(STEPS)
 def test_retries_of_all_routers_stay_within_the_budget(
     steps: list[tuple[float, int, int, int]],
@@ -39,26 +47,54 @@
             shares[router].earn()
             fresh.append(clock.now)
         for _ in range(failed):
-            if shares[router].spend():
+            if send_again(shares[router]):
                 spent.append(clock.now)
         began = clock.now - BOUNDS.window
         lately = sum(at > began for at in spent)
-        base = sum(at > began - BOUNDS.window for at in fresh)
+        base = max(
+            sum(began < at for at in fresh),
+            sum(began - BOUNDS.window < at <= began for at in fresh),
+            sum(abs(at - began) <= BOUNDS.window / 2 for at in fresh),
+        )
         assert lately <= BOUNDS.ratio * base + BOUNDS.slack
 
 
 def test_a_router_alone_has_the_whole_slack() -> None:
     share = RetryShare(BOUNDS, Clock(), lambda: 1)
-    taken = sum(share.spend() for _ in range(100))
+    taken = sum(send_again(share) for _ in range(100))
     assert 0.5 * BOUNDS.slack < taken <= BOUNDS.slack
 
 
 def test_the_budget_is_whole_again_after_its_window() -> None:
     clock = Clock()
     share = RetryShare(BOUNDS, clock, lambda: ROUTERS)
-    first = sum(share.spend() for _ in range(100))
+    first = sum(send_again(share) for _ in range(100))
     clock.now += BOUNDS.window + 1
-    assert sum(share.spend() for _ in range(100)) == first
+    assert sum(send_again(share) for _ in range(100)) == first
+
+
+def test_a_retry_counts_from_when_it_leaves_not_from_when_it_was_taken() -> (
+    None
+):
+    """Retries that had waited met as many new ones in one window."""
+    clock = Clock()
+    share = RetryShare(BOUNDS, clock, lambda: 1)
+    waiting = sum(share.spend() for _ in range(100))
+    clock.now += 2
+    for _ in range(waiting):
+        share.note_sent()
+    clock.now += BOUNDS.window - 1
+    assert not share.spend()
+    clock.now += 2
+    assert share.spend()
+
+
+def test_a_retry_that_is_not_sent_is_given_back() -> None:
+    share = RetryShare(BOUNDS, Clock(), lambda: 1)
+    first = sum(share.spend() for _ in range(100))
+    share.give_back()
+    assert first and share.spend()
+    assert not share.spend()
 
 
 @pytest.mark.parametrize('routers', [1, 9, 60, 300])
