Free the places that a test of keepers holds before it asks for more

Cause: it kept its first reservations, so that the engines it asked next were nearly full; whether another with room was among the three drawn at random decided. The assertions stand as they were; each place is given back first.

--- a/tests/test_serving_health.py
+++ b/tests/test_serving_health.py
@@ -110,6 +110,8 @@
     second = chooser.reserve(job_of('a'), 1, frozenset((home.name,)))
     assert second is not None
     assert second.placed.keeper == home
+    chooser.release(first)
+    chooser.release(second)
     leaving = tuple(
         replace(each, leaving=each.name == home.name)
         for each in directory.endpoints.values()
@@ -120,6 +122,7 @@
     assert moved.endpoint.name != home.name
     assert moved.placed.keeper is not None
     assert moved.placed.keeper.name == home.name
+    chooser.release(moved)
     chooser.health.note(home.name, BROKEN, 100)
     after = chooser.reserve(job_of('a'), 1, NOBODY)
     assert after is not None
