Take endpoints of a data centre that comes back as cold until lists tell

Cause: when an evacuation is taken back the endpoints are cold, and say so with their next heartbeat; routers learn of the return within milliseconds and of the entry up to two seconds later. Meanwhile they took the endpoints for warm, and idle ones draw what comes.

Change: for 2.5 s after its return a data centre's endpoints are taken as cold, whatever the list says.

The test failed before.

--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -96,7 +96,7 @@
         if placed is None:
             return None
         endpoint = placed.endpoint
-        if endpoint.cold_until > self._clock():
+        if self._directory.is_cold(endpoint):
             self.gate.note_sent(endpoint.name, service.cold_rate)
         running = self.loads.begin(endpoint.name, placed.reading)
         return Reservation(placed, running)
@@ -120,7 +120,7 @@
         if not self.is_usable(reservation):
             return False
         endpoint = self._directory.endpoints[reservation.endpoint.name]
-        return endpoint.cold_until <= self._clock()
+        return not self._directory.is_cold(endpoint)
 
     def release(self, reservation: Reservation) -> None:
         """Give a place back."""
@@ -260,7 +260,7 @@
         )
 
     def _bears(self, service: RoutedService, endpoint: ListedEndpoint) -> bool:
-        if endpoint.cold_until <= self._clock():
+        if not self._directory.is_cold(endpoint):
             return True
         return self.gate.is_open(endpoint.name, service.cold_rate)
 
--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -6,6 +6,7 @@
 one is used for ``REGAIN_SECONDS`` more.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
@@ -13,6 +14,9 @@
 
 REGAIN_SECONDS = 2.0
 """How soon a live endpoint's entry is back after an outage of the list."""
+RETURN_SECONDS = 2.5
+"""How soon a list tells that endpoints of a data centre that came back are
+cold: they write it with their next heartbeat, and lists are read in turns."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +66,7 @@
         self.digest = 0
         self._clock = clock
         self._regain_until: float = 0
+        self._returned_at: dict[str, float] = {}
         self._usable: dict[str, tuple[ListedEndpoint, ...]] = {}
 
     def replace(self, listing: Listing) -> None:
@@ -89,6 +94,8 @@
     def set_evacuated(self, data_centres: frozenset[str]) -> None:
         """Take data centres out of service; all others are in."""
         if data_centres != self.evacuated:
+            returned = self.evacuated - data_centres
+            self._returned_at.update(dict.fromkeys(returned, self._clock()))
             self.evacuated = data_centres
             self._changed()
 
@@ -125,6 +132,16 @@
             and known.data_centre not in self.evacuated
         )
 
+    def is_cold(self, endpoint: ListedEndpoint) -> bool:
+        """Return whether an endpoint may bear little now.
+
+        One of a data centre that has just come back may be cold without a
+        list that says so.
+        """
+        returned_at = self._returned_at.get(endpoint.data_centre, -math.inf)
+        cold_until = max(endpoint.cold_until, returned_at + RETURN_SECONDS)
+        return self._clock() < cold_until
+
     def _keep_missing(self, fresh: dict[str, ListedEndpoint]) -> None:
         taken = {endpoint.address for endpoint in fresh.values()}
         for name, endpoint in self.endpoints.items():
--- a/tests/test_serving_health.py
+++ b/tests/test_serving_health.py
@@ -23,6 +23,7 @@
 REFUSED = Attempt(Verdict.NOT_RUN, Outcome.REFUSED)
 FAILED = Attempt(Verdict.MAY_HAVE_RUN, Outcome.LATE)
 NOBODY: frozenset[str] = frozenset()
+ROUTERS = 9
 
 
 def done(first_token_ms: int) -> Attempt:
@@ -75,7 +76,7 @@
     directory = Directory(clock)
     services = {each.name: each for each in (ENGINE, PLAIN)}
     catalog = Catalog(1, {}, services)
-    chooser = Chooser('h', lambda: catalog, directory, clock, lambda: 9)
+    chooser = Chooser('h', lambda: catalog, directory, clock, lambda: ROUTERS)
     directory.replace(Listing(1, endpoints_of(ENGINE, 4)))
     return chooser, directory
 
@@ -131,6 +132,24 @@
     )
 
 
+def test_endpoints_of_a_returned_data_centre_are_not_flooded() -> None:
+    """Each list of before said that they were warm: 21 came in a second."""
+    clock = Clock()
+    chooser, directory = opened(clock)
+    directory.set_evacuated(frozenset(('north',)))
+    clock.now += 10
+    directory.set_evacuated(frozenset())
+    taken = 0
+    for _ in range(100):
+        reservation = chooser.reserve(job_of('a'), 1, NOBODY)
+        if reservation is not None:
+            taken += 1
+            chooser.release(reservation)
+        clock.now += 0.01
+    a_turn_each = len(directory.endpoints)
+    assert taken <= a_turn_each * (1 + ENGINE.cold_rate / ROUTERS)
+
+
 def test_where_all_are_left_alone_all_are_tried() -> None:
     chooser, directory = opened(Clock())
     for name in directory.endpoints:
