--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes on loopback, faults from outside."""
--- a/tests/support_platform.py
+++ b/tests/support_platform.py
@@ -42,6 +42,7 @@
     silent: bool = False
     drop_history: bool = False
     hidden: str | None = None
+    granted: int = -1
     page: int = 500
     calls: list[str] = field(default_factory=list)
     queries: list[dict[str, str]] = field(default_factory=list)
@@ -98,7 +99,7 @@
         if self.silent:
             return
         if self.refuse_with is not None:
-            send(request, self.refuse_with, {})
+            self.answer(request, self.refuse_with, {})
             return
         query = {key: rows[0] for key, rows in parse_qs(parts.query).items()}
         self.queries.append(query)
@@ -108,7 +109,12 @@
             self, f'do_{name.replace("-", "_")}'
         )
         last = parts.path.rpartition('/')[2]
-        send(request, *await handle(query, body, last))
+        self.answer(request, *await handle(query, body, last))
+
+    def answer(
+        self, request: HTTPServerRequest, status: int, content: dict[str, Any]
+    ) -> None:
+        send(request, status, content)
 
     async def do_kv_key(self, query: Any, body: Any, last: str) -> Answer:
         key = query['key']
@@ -177,7 +183,8 @@
         return 200, {'revision': self.revision}
 
     async def do_kv_lease(self, query: Any, body: Any, last: str) -> Answer:
-        number = 7000 + len(self.leases)
+        self.granted += 1
+        number = 7000 + self.granted
         self.leases[number] = set()
         return 200, {'lease': number, 'ttl_ms': body['ttl_ms']}
 
