--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,6 +19,7 @@
 ALLOWED_POISON = 3
 CRASHES = 3
 LONGER_SECONDS = 0.5
+LOSS_SLACK_SECONDS = 0.2
 ALLOWED_LONGER = 20
 ALLOWED_LONGER_PART = 0.2
 Row = dict[str, Any]
@@ -213,6 +214,24 @@
     ]
 
 
+def lost(tries: Sequence[Try], rows: Iterable[Row]) -> list[str]:
+    """Return requests that were taken and ended without a whole answer.
+
+    One that crosses the router's close counts if it was passed on.
+    """
+    arrived = {row['id'] for row in rows if row['e'] == 'arrive'}
+    return [
+        f'{one.request_id} at {one.router}: {one.fault}'
+        for one in tries
+        if one.router
+        and not one.whole
+        and (
+            one.request_id in arrived
+            or one.ended_at - one.sent_at > LOSS_SLACK_SECONDS
+        )
+    ]
+
+
 def outcomes(tries: Sequence[Try]) -> Counter[str]:
     return Counter(
         one.fault.partition(':')[0] or str(one.status) for one in tries
--- a/tests/soak/conduct.py
+++ b/tests/soak/conduct.py
@@ -16,9 +16,9 @@
 
 from sesamespoke.bench.processes import Processes
 from soak.callers import Balancer, Caller, Try
-from soak.checks import judge, outcomes, repeats_at_most
+from soak.checks import judge, lost, outcomes, repeats_at_most
 from soak.engine import post
-from soak.faults import Fault, draw
+from soak.faults import KINDS, PLANNED, Fault, draw
 from soak.links import NO_ANSWERS, NO_REQUESTS, OPEN, RESET, SILENT, Link
 from soak.site import (
     BEAT_SECONDS,
@@ -51,6 +51,8 @@
 class SoakPlan:
     """What one soak plays; all of it follows from the seed.
 
+    ``only`` names the kinds of faults, all if it is empty. A soak with planned
+    work alone loses no request.
     ``source`` names the ``src`` directory of other code to run the routers
     from, to compare.
     """
@@ -61,9 +63,14 @@
     engines: int
     rate: float
     pace: float = 1.5
+    only: tuple[str, ...] = ()
     logs: str | None = None
     source: str | None = None
 
+    @property
+    def is_planned(self) -> bool:
+        return bool(self.only) and PLANNED.issuperset(self.only)
+
 
 async def soak(plan: SoakPlan) -> dict[str, Any]:
     """Play a soak; return the broken promises and what was done."""
@@ -112,7 +119,10 @@
         for caller in callers:
             self.tasks.append(asyncio.ensure_future(caller.run()))
         self.tasks.insert(0, asyncio.ensure_future(self.watch_ends()))
-        await self.disturb(draw(self.site, plan.seconds, plan.pace, self.rng))
+        kinds = {kind: KINDS[kind] for kind in plan.only or KINDS}
+        await self.disturb(
+            draw(self.site, plan.seconds, plan.pace, kinds, self.rng)
+        )
         for task in self.tasks[-len(callers) :]:
             task.cancel()
         asked = [task for caller in callers for task in caller.tasks]
@@ -124,11 +134,12 @@
             'seed': plan.seed,
             'requests': len(self.tries),
             **judge(self.tries, rows, self.site.slack),
+            'lost': len(lost(self.tries, rows)) if plan.is_planned else 0,
             'died': len(self.died),
             'budget_used': repeats_at_most(self.tries, rows, self.site.slack),
             'outcomes': dict(outcomes(self.tries).most_common()),
             'faults': dict(self.done),
-            'ends': self.died,
+            'ends': self.died + lost(self.tries, rows)[:5] * plan.is_planned,
         }
 
     async def start(self) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """What goes wrong in one soak, and when: drawn from its seed alone."""
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from soak.site import GRACE_SECONDS, SERVICES, ZONES, Site
@@ -23,7 +24,11 @@
 
 
 def draw(
-    site: Site, seconds: float, pace: float, rng: random.Random
+    site: Site,
+    seconds: float,
+    pace: float,
+    kinds: Mapping[str, float],
+    rng: random.Random,
 ) -> list[Fault]:
     """Return the faults of a soak, in series and overlapping.
 
@@ -32,7 +37,7 @@
     faults: list[Fault] = []
     at = FIRST_SECONDS
     while at < seconds - CALM_SECONDS:
-        kind = rng.choices(tuple(KINDS), tuple(KINDS.values()))[0]
+        kind = rng.choices(tuple(kinds), tuple(kinds.values()))[0]
         longest = seconds - CALM_SECONDS - at
         faults.append(_draw_one(site, kind, at, longest, rng))
         at += rng.expovariate(1 / pace)
@@ -58,6 +63,8 @@
     'poison': 1.0,
 }
 """Kinds of faults, and how often each comes against the others."""
+PLANNED = frozenset(('stop router', 'reload router'))
+"""Planned work, in which no request may be lost."""
 
 
 def _draw_one(
