Forget old requests of the retry budget also while none fails

Cause: the budget's record of fresh requests was cut only when a retry was asked for, so that a service without failures kept two entries a second for good.

The test failed before.

--- a/src/sesamespoke/serving/shares.py
+++ b/src/sesamespoke/serving/shares.py
@@ -7,7 +7,6 @@
 """
 
 import math
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import accumulate
@@ -70,7 +69,7 @@
         self._started_at = started_at
         self._clock = clock
         self._routers = routers
-        self._buckets: defaultdict[int, _Bucket] = defaultdict(_Bucket)
+        self._buckets: dict[int, _Bucket] = {}
         self._unsent = 0
 
     def take_bounds(self, cfg: RetryBounds) -> None:
@@ -82,7 +81,7 @@
 
     def earn(self) -> None:
         """Count a fresh request."""
-        self._buckets[self._now()].fresh += 1
+        self._newest().fresh += 1
 
     def spend(self) -> bool:
         """Take a retry; return whether the budget allows it.
@@ -97,7 +96,7 @@
     def note_sent(self) -> None:
         """Note that a retry that was taken leaves for an endpoint now."""
         self._unsent -= 1
-        self._buckets[self._now()].sent += 1
+        self._newest().sent += 1
 
     def give_back(self) -> None:
         """Give back a retry that was taken and not sent."""
@@ -117,15 +116,13 @@
     def _left(self) -> float:
         """Return how many more retries every window would bear."""
         newest = self._now()
-        transit = math.ceil(TRANSIT_SECONDS / self._bucket_seconds())
-        oldest = newest - BUCKETS - transit
-        self._drop_before(oldest - HALF)
-        fresh = reversed(self._sum_fresh(oldest, newest))
+        oldest = self._oldest(newest)
+        fresh = self._sum_fresh(oldest, newest)
         slack = self._slack()
         sent = self._unsent
         least = math.inf
         numbers = range(newest, oldest - 1, -1)
-        for number, around in zip(numbers, fresh, strict=True):
+        for number, around in zip(numbers, reversed(fresh), strict=True):
             sent += self._at(number).sent
             allowed = self._cfg.ratio * around + slack
             least = min(least, SAFE_FRACTION * allowed - sent)
@@ -150,8 +147,8 @@
     def _slack(self) -> float:
         """Return this router's part of the slack."""
         routers = self._routers()
-        has_begun = self._clock() - self._started_at < self._cfg.window
-        if has_begun or not routers:
+        is_new = self._clock() - self._started_at < self._cfg.window
+        if is_new or not routers:
             return 0
         return self._cfg.slack / routers
 
@@ -161,13 +158,28 @@
     def _bucket_seconds(self) -> float:
         return self._cfg.window / BUCKETS
 
+    def _oldest(self, newest: int) -> int:
+        """Return the first bucket whose retries may still be arriving."""
+        transit = math.ceil(TRANSIT_SECONDS / self._bucket_seconds())
+        return newest - BUCKETS - transit
+
     def _at(self, number: int) -> _Bucket:
         return self._buckets.get(number, _EMPTY)
 
-    def _drop_before(self, oldest: int) -> None:
-        old = tuple(each for each in self._buckets if each < oldest)
-        for number in old:
-            del self._buckets[number]
+    def _newest(self) -> _Bucket:
+        """Return the bucket of now; a new one takes the place of old ones."""
+        newest = self._now()
+        bucket = self._buckets.get(newest)
+        if bucket is None:
+            oldest = self._oldest(newest) - HALF
+            self._buckets = {
+                number: each
+                for number, each in self._buckets.items()
+                if number >= oldest
+            }
+            bucket = _Bucket()
+            self._buckets[newest] = bucket
+        return bucket
 
 
 class RetryPayment:
--- a/tests/test_serving_shares.py
+++ b/tests/test_serving_shares.py
@@ -23,6 +23,12 @@
 )
 
 
+def count_kept(share: RetryShare) -> int:
+    """Return the number of objects that a share keeps."""
+    kept = (getattr(share, name) for name in vars(share))
+    return sum(len(each) for each in kept if isinstance(each, dict))
+
+
 def send_again(share: RetryShare) -> bool:
     """Take a retry and send it at once; return whether there was one."""
     if not share.spend():
@@ -89,6 +95,18 @@
     assert share.spend()
 
 
+def test_the_record_of_requests_does_not_grow_while_none_fails() -> None:
+    clock = Clock()
+    share = RetryShare(BOUNDS, clock, lambda: 1)
+    sizes = []
+    for _ in range(3):
+        for _ in range(1000):
+            clock.now += 0.1
+            share.earn()
+        sizes.append(count_kept(share))
+    assert sizes[0] == sizes[1] == sizes[2]
+
+
 def test_a_retry_that_is_not_sent_is_given_back() -> None:
     share = RetryShare(BOUNDS, Clock(), lambda: 1)
     first = sum(share.spend() for _ in range(100))
