--- a/src/sesamespoke/platform/settings.py
+++ b/src/sesamespoke/platform/settings.py
@@ -6,12 +6,12 @@
 from pathlib import Path
 from typing import Any
 
+from sesamespoke.serving.retry_budget import RetryBounds
 from sesamespoke.serving.settings import (
     FeedSettings,
     ServingSettings,
     StopSettings,
 )
-from sesamespoke.serving.shares import RetryBounds
 from sesamespoke.settings import Address
 
 MS_PER_SECOND = 1000
--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 
 from sesamespoke.serving.catalog import Catalog, RoutedService
+from sesamespoke.serving.cold_gate import ColdGate
 from sesamespoke.serving.directory import Directory, ListedEndpoint
 from sesamespoke.serving.health import Health
 from sesamespoke.serving.job import Job
@@ -17,7 +18,6 @@
     place_generation,
     rank_homes,
 )
-from sesamespoke.serving.shares import ColdGate
 
 MS_PER_SECOND = 1000
 MAX_AGE = 3600.0
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -22,6 +22,7 @@
 from sesamespoke.serving.peer_loads import PeerLoads
 from sesamespoke.serving.ports import Feeds
 from sesamespoke.serving.pressure import LoopPressure
+from sesamespoke.serving.retry_budget import RetryShare
 from sesamespoke.serving.routed_server import (
     PageServer,
     RoutedServer,
@@ -29,7 +30,6 @@
 )
 from sesamespoke.serving.serving_call import ServingParts
 from sesamespoke.serving.settings import ServingSettings, peer_settings
-from sesamespoke.serving.shares import RetryShare
 from sesamespoke.serving.stopping import PlannedStop
 from sesamespoke.serving.suspects import SharedSuspects
 from sesamespoke.timeline import Timeline
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -25,7 +25,7 @@
 from sesamespoke.serving.chooser import Chooser, Reservation
 from sesamespoke.serving.exchange import Exchange, Line
 from sesamespoke.serving.job import Job
-from sesamespoke.serving.shares import RetryPayment, RetryShare
+from sesamespoke.serving.retry_budget import RetryPayment, RetryShare
 from sesamespoke.verdicts import (
     ENDPOINT_FAILED,
     TIMED_OUT,
--- a/src/sesamespoke/serving/settings.py
+++ b/src/sesamespoke/serving/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from sesamespoke.serving.shares import RetryBounds
+from sesamespoke.serving.retry_budget import RetryBounds
 from sesamespoke.settings import Address, Settings, StoreSettings
 
 
--- a/tests/support_routed.py
+++ b/tests/support_routed.py
@@ -20,13 +20,13 @@
 from sesamespoke.platform.headers import NAMES, read_head
 from sesamespoke.platform.kv_store import KvStore
 from sesamespoke.serving.pressure import LoopPressure
+from sesamespoke.serving.retry_budget import RetryBounds
 from sesamespoke.serving.router import RoutedRouter
 from sesamespoke.serving.settings import (
     FeedSettings,
     ServingSettings,
     StopSettings,
 )
-from sesamespoke.serving.shares import RetryBounds
 from sesamespoke.settings import Address
 
 ANY_PORT = Address('127.0.0.1', 0)
--- a/tests/test_retry_budget_model.py
+++ b/tests/test_retry_budget_model.py
@@ -14,7 +14,7 @@
 
 from sesamespoke.links import Member, View
 from sesamespoke.serving.fleet_size import FleetSize
-from sesamespoke.serving.shares import RetryBounds, RetryShare
+from sesamespoke.serving.retry_budget import RetryBounds, RetryShare
 
 BOUNDS = RetryBounds(ratio=0.2, window=10, slack=58)
 HOSTS = tuple(f'{zone}-{number}' for zone in 'abc' for number in range(3))
