Keep the watchers of hosts as hosts come and go

Each change of the hosts ranked every host for every other one anew: with 195 hosts that start together, 7.4 million hashes in each of them. Now a host that comes costs two hashes a pair and one that goes only those it watched.

--- a/src/sesamespoke/detector.py
+++ b/src/sesamespoke/detector.py
@@ -9,24 +9,16 @@
 All times are in seconds on the clock that the caller passes.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
-from sesamespoke.placement import rank_hosts
 from sesamespoke.settings import Timing
+from sesamespoke.watchers import Watchers
 
-WATCHERS: Final = 3
 QUORUM: Final = 2
 TICKS_PER_HEARTBEAT: Final = 4
 
 
-def choose_watchers(host: str, hosts: Iterable[str]) -> tuple[str, ...]:
-    """Return the hosts to which one host sends its heartbeats."""
-    others = (other for other in hosts if other != host)
-    return tuple(rank_hosts(f'watch|{host}', others)[:WATCHERS])
-
-
 @dataclass(slots=True)
 class _Watched:
     """What is known of one host."""
@@ -53,7 +45,7 @@
         self._host = host
         self._heartbeat = timing.heartbeat
         self._patience = timing.suspect_after + timing.heartbeat
-        self._watchers_of: dict[str, tuple[str, ...]] = {}
+        self._watchers = Watchers()
         self._watched: dict[str, _Watched] = {}
 
     def set_hosts(self, hosts: frozenset[str], now: float) -> None:
@@ -62,14 +54,12 @@
             self._watched.pop(gone)
         for new in hosts - self._watched.keys():
             self._watched[new] = _Watched(now)
-        everyone = hosts | {self._host}
-        before = self._watchers_of
-        self._watchers_of = {
-            each: choose_watchers(each, everyone) for each in everyone
-        }
-        self.watchers = self._watchers_of[self._host]
-        for watched in hosts:
-            self._begin_watch(watched, before.get(watched, ()), now)
+        watched_before = {each for each in hosts if self._watches(each)}
+        self._watchers.set_hosts(hosts | {self._host})
+        self.watchers = self._watchers.of(self._host)
+        for each in hosts - watched_before:
+            if self._watches(each):
+                self._begin_watch(each, now)
 
     def hear(self, host: str, now: float) -> None:
         """Note that a host was heard, which clears all suspicion."""
@@ -100,8 +90,7 @@
         silent = tuple(
             host
             for host, watched in self._watched.items()
-            if now - watched.heard_at > self._patience
-            and self._host in self._watchers_of[host]
+            if now - watched.heard_at > self._patience and self._watches(host)
         )
         for accused in silent:
             self.accuse(accused, self._host, now)
@@ -116,15 +105,12 @@
         )
         return Findings(silent, gone)
 
-    def _begin_watch(
-        self,
-        host: str,
-        watchers_before: tuple[str, ...],
-        now: float,
-    ) -> None:
+    def _watches(self, host: str) -> bool:
+        """Return whether this host is a watcher of another."""
+        return self._host in self._watchers.of(host)
+
+    def _begin_watch(self, host: str, now: float) -> None:
         """Give a host that is newly watched two heartbeats' time."""
-        if self._host in watchers_before:
-            return
         watched = self._watched[host]
         least = now - self._patience + 2 * self._heartbeat
         watched.heard_at = max(watched.heard_at, least)
@@ -133,6 +119,6 @@
         """Return whether enough of a host's watchers suspect it."""
         trusted = sum(
             watcher == self._host or not self._watched[watcher].accusers
-            for watcher in self._watchers_of[host]
+            for watcher in self._watchers.of(host)
         )
         return len(watched.accusers) >= max(1, min(QUORUM, trusted))
