Tell loads of routers by sums of data centres, and lists within each

Cause: each router told each other of the region its loads, and kept a stream to it: at 195 routers some 200 messages a second each, 38,000 in the fleet, reports a second old, 194 streams a process.

Now peer streams are full within a data centre and few between two. A data centre's routers tell each other, above 8 by two carriers; carriers' sums go to the other data centres in one message, and by a third where two can't reach each other. Accounts' use travels as amounts that replace the older ones, so that a lost or repeated message changes nothing. One router of each data centre reads the list of endpoints for the others there.

--- a/src/sesamespoke/codec.py
+++ b/src/sesamespoke/codec.py
@@ -58,12 +58,14 @@
         32: membership_messages.DataCentreView,
         33: membership_messages.RouteLost,
         34: membership_messages.Relay,
+        35: membership_messages.Spread,
         16: msg.DocumentRequest,
         17: msg.DocumentRoot,
         18: msg.DocumentPart,
         19: msg.ClaimRequest,
         40: routing_messages.RouterLoads,
         41: routing_messages.EndpointList,
+        42: routing_messages.SiteLoads,
     },
 )
 
--- a/src/sesamespoke/gateways.py
+++ b/src/sesamespoke/gateways.py
@@ -100,6 +100,10 @@
         hosts = self._streams.get(name or '', set())
         return host if host in hosts else place(host, hosts)
 
+    def streams_to(self, data_centre: str) -> Iterable[str]:
+        """Return the hosts of a data centre to which there is a stream."""
+        return self._streams.get(data_centre, set())
+
     def tick(self) -> None:
         """Cut silent streams and tell far gateways what has changed."""
         now = _now()
--- a/src/sesamespoke/membership_messages.py
+++ b/src/sesamespoke/membership_messages.py
@@ -54,4 +54,15 @@
     payload: bytes
 
 
-MembershipMessage = Probe | MemberSilent | DataCentreView | RouteLost | Relay
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """An encoded message on its way to all hosts of one data centre."""
+
+    data_centre: str
+    source: str
+    payload: bytes
+
+
+MembershipMessage = (
+    Probe | MemberSilent | DataCentreView | RouteLost | Relay | Spread
+)
--- a/src/sesamespoke/peers.py
+++ b/src/sesamespoke/peers.py
@@ -127,12 +127,20 @@
         return self.mesh.write(host, frame) or self._relays.send(host, frame)
 
     def broadcast(self, message: Message) -> None:
-        """Queue a message to every other member, encoded once."""
+        """Queue a message to the other hosts of this data centre."""
         frame = encode(message, self.mesh.names.shorten())
-        for host in self.view.hosts():
+        for host in self.view.hosts(self.data_centre):
             if host != self.host and not self.mesh.write(host, frame):
                 self._relays.send(host, frame)
 
+    def spread(self, data_centre: str, message: Message) -> bool:
+        """Queue a message to all hosts of another data centre.
+
+        It may be lost unnoticed. Returns whether there is a way to them.
+        """
+        frame = encode(message, self.mesh.names.shorten())
+        return self._relays.spread(data_centre, frame)
+
     def subscribe(
         self,
         kind: type[MessageT],
--- a/src/sesamespoke/platform/settings.py
+++ b/src/sesamespoke/platform/settings.py
@@ -63,7 +63,6 @@
     serving = ServingSettings(
         fields['node_name'],
         fields['zone'],
-        fields.get('region', fields['zone']),
         callers=read_address(listens['frontend']),
         ready=read_address(listens['ready']),
         metrics=Address(ip, METRICS_PORT),
--- a/src/sesamespoke/reception.py
+++ b/src/sesamespoke/reception.py
@@ -13,6 +13,7 @@
     Probe,
     Relay,
     RouteLost,
+    Spread,
 )
 from sesamespoke.messages import Heartbeat, Hello, Message
 from sesamespoke.relays import Relays
@@ -47,6 +48,7 @@
             DataCentreView: self._learn,
             RouteLost: self._lose,
             Relay: relays.receive,
+            Spread: relays.receive_spread,
         }
         self._table = MappingProxyType(table)
 
--- a/src/sesamespoke/relays.py
+++ b/src/sesamespoke/relays.py
@@ -2,10 +2,13 @@
 
 A message to a far host goes to a gateway of the own data centre, to one of
 the far data centre, and to the host. One to a near host whose stream is
-down goes by one other near host.
+down goes by one other near host. One for all hosts of a far data centre
+travels between the two as a single message, by each gateway in turn: it is
+for news that the next one replaces, since no lost one is noticed.
 """
 
 from collections.abc import Callable
+from itertools import count
 
 from sesamespoke.codec import Decoder, Skipped, encode
 from sesamespoke.gateways import Gateways
@@ -16,6 +19,7 @@
     Probe,
     Relay,
     RouteLost,
+    Spread,
 )
 from sesamespoke.mesh import Mesh
 from sesamespoke.messages import Heartbeat, Hello, Message
@@ -31,6 +35,7 @@
     Probe,
     Relay,
     RouteLost,
+    Spread,
 )
 
 
@@ -54,6 +59,7 @@
         self._routes = routes
         self._metrics = metrics
         self._deliver = deliver
+        self._turns = count()
 
     def send(self, host: str, frame: bytes) -> bool:
         """Send a frame to a host without a stream, if a path is known."""
@@ -83,6 +89,37 @@
         else:
             self._metrics.count('peer_relays', hop='next')
 
+    def spread(self, data_centre: str, frame: bytes) -> bool:
+        """Send a frame to all hosts of a far data centre, if one is known."""
+        gateways = sorted(self._routes.gateways_to(data_centre))
+        if not gateways:
+            return False
+        spread = Spread(data_centre, self._own, frame)
+        gateway = gateways[next(self._turns) % len(gateways)]
+        if gateway == self._own:
+            return self._cross(spread)
+        return self._mesh.write(gateway, encode(spread))
+
+    def receive_spread(self, sender: str, spread: Spread) -> None:
+        """Deliver a message for a whole data centre, or pass it on."""
+        near = self._membership.near
+        if spread.data_centre == self._membership.own.data_centre:
+            if sender not in near:
+                self._mesh.write_all(near, encode(spread))
+            self._open(sender, spread)
+        elif sender in near and spread.source == sender:
+            self._cross(spread)
+
+    def _cross(self, spread: Spread) -> bool:
+        """Send a message to one host of the data centre that it is for."""
+        far = sorted(self._gateways.streams_to(spread.data_centre))
+        if not far:
+            self._metrics.count('peer_relays_dropped')
+            return False
+        self._metrics.count('peer_relays', hop='spread')
+        host = far[next(self._turns) % len(far)]
+        return self._mesh.write(host, encode(spread))
+
     def _choose_hop(self, sender: str, relay: Relay) -> str | None:
         """Return where a message goes next, or None if it must not."""
         near = self._membership.near
@@ -92,7 +129,7 @@
             return self._gateways.choose_stream(relay.destination)
         return None
 
-    def _open(self, sender: str, relay: Relay) -> None:
+    def _open(self, sender: str, relay: Relay | Spread) -> None:
         """Deliver the message that a relay carries."""
         if not self._may_come_from(sender, relay.source):
             self._metrics.count('peer_refused', why='relay source')
--- a/src/sesamespoke/routes.py
+++ b/src/sesamespoke/routes.py
@@ -40,6 +40,10 @@
         """Return the data centre of a far host, if it is known."""
         return self._data_centres.get(host)
 
+    def gateways_to(self, data_centre: str) -> Iterable[str]:
+        """Return the near hosts that reach a data centre."""
+        return self._gateways.get(data_centre, {}).keys()
+
     def next_hop(self, host: str) -> str | None:
         """Return the gateway for a far host; it may be this host."""
         path = self._paths.get(host)
--- a/src/sesamespoke/routing_messages.py
+++ b/src/sesamespoke/routing_messages.py
@@ -19,6 +19,23 @@
     accounts: tuple[tuple[str, int, int], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SiteLoads:
+    """What all routers of one data centre have in flight and gave of late.
+
+    ``age_ms`` is the age of these sums. ``endpoints`` rows are those of
+    ``RouterLoads``. ``accounts`` rows: account, tokens asked for and tokens
+    granted, both faded to the time of the sums. ``heard`` names the data
+    centres whose own sums reach this one directly.
+    """
+
+    data_centre: str
+    age_ms: int
+    endpoints: tuple[tuple[str, int, int], ...]
+    accounts: tuple[tuple[str, int, int], ...]
+    heard: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointList:
     """The platform's list of endpoints, as a router has just read it.
@@ -35,4 +52,4 @@
     rows: tuple[EndpointRow, ...]
 
 
-RoutingMessage = RouterLoads | EndpointList
+RoutingMessage = RouterLoads | SiteLoads | EndpointList
--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -15,6 +15,7 @@
 
 import math
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 USAGE_SECONDS = 4.0
 """The time in which past use loses its weight (1/e): the window over which
@@ -34,6 +35,21 @@
 just its share; it falls as the inverse of what more it was given."""
 MIN_ROOM = 0.25
 """The fill up to which any account finds room."""
+MIN_TOLD_TOKENS = 1.0
+"""What has faded to less is not told to other data centres."""
+
+AccountRow = tuple[str, int, int]
+
+
+Amounts = dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """Amounts by account that another data centre had at some time."""
+
+    at: float
+    amounts: Amounts
 
 
 class _Rates:
@@ -43,21 +59,55 @@
         """Start without any."""
         self._clock = clock
         self._spent: dict[str, tuple[float, float]] = {}
+        self._told: dict[str, _Told] = {}
 
     def amount(self, account: str) -> float:
         """Return what an account has, faded to now."""
+        now = self._clock()
+        amount = self.local(account)
+        for told in self._told.values():
+            part = told.amounts.get(account)
+            if part:
+                amount += part * _fade(now - told.at)
+        return amount
+
+    def local(self, account: str) -> float:
+        """Return the part that no other data centre told."""
         amount, at = self._spent.get(account, (0, 0))
-        if not amount:
-            return 0
-        return amount * math.exp((at - self._clock()) / USAGE_SECONDS)
+        return amount * _fade(self._clock() - at) if amount else 0
 
     def add(self, account: str, cost: float) -> None:
         """Add to what an account has."""
-        self._spent[account] = (self.amount(account) + cost, self._clock())
+        self._spent[account] = (self.local(account) + cost, self._clock())
+
+    def replace(self, source: str, at: float, amounts: Amounts) -> None:
+        """Take what a source has, instead of what it had before."""
+        before = self._told.get(source)
+        if before is None or before.at <= at:
+            self._told[source] = _Told(at, amounts)
 
-    def amounts(self) -> dict[str, float]:
+    def amounts(self) -> Amounts:
         """Return what all accounts have."""
-        return {account: self.amount(account) for account in self._spent}
+        accounts = set(self._spent)
+        accounts.update(*(told.amounts for told in self._told.values()))
+        return {account: self.amount(account) for account in accounts}
+
+    def amounts_near(self, source: str) -> Amounts:
+        """Return what accounts have here and as one source told."""
+        told = self._told.get(source, _NOTHING_TOLD)
+        faded = _fade(self._clock() - told.at)
+        return {
+            account: self.local(account) + told.amounts.get(account, 0) * faded
+            for account in self._spent.keys() | told.amounts.keys()
+        }
+
+
+_NOTHING_TOLD = _Told(0, {})
+
+
+def _fade(seconds: float) -> float:
+    """Return the weight of an amount of some time ago."""
+    return math.exp(-seconds / USAGE_SECONDS)
 
 
 class FairShares:
@@ -93,6 +143,42 @@
         """Charge an account."""
         self._given.add(account, cost)
 
+    def near_rows(self, data_centre: str) -> tuple[AccountRow, ...]:
+        """Return what accounts asked and got in this data centre of late."""
+        asked = self._asked.amounts_near(data_centre)
+        given = self._given.amounts_near(data_centre)
+        rows = (
+            (
+                account,
+                round(asked.get(account, 0)),
+                round(given.get(account, 0)),
+            )
+            for account in asked.keys() | given.keys()
+        )
+        return tuple(row for row in rows if max(row[1:]) >= MIN_TOLD_TOKENS)
+
+    def take_site(
+        self,
+        data_centre: str,
+        rows: tuple[AccountRow, ...],
+        age: float,
+        *,
+        is_own: bool,
+    ) -> None:
+        """Take what accounts asked and got in a data centre.
+
+        ``age`` is how old the rows are, in seconds. Rows of the own data
+        centre hold what was asked and given at this router as well.
+        """
+        at = self._clock() - age
+        asked = {account: float(amount) for account, amount, _ in rows}
+        given = {account: float(amount) for account, _, amount in rows}
+        if is_own:
+            asked = _subtract(asked, self._asked.local)
+            given = _subtract(given, self._given.local)
+        self._asked.replace(data_centre, at, asked)
+        self._given.replace(data_centre, at, given)
+
     def room(self, account: str) -> float:
         """Return the fill of endpoints that an account may use, up to 1."""
         level = self._find_level()
@@ -131,6 +217,14 @@
         return peak
 
 
+def _subtract(amounts: Amounts, local: Callable[[str], float]) -> Amounts:
+    """Return amounts without the local part of each."""
+    return {
+        account: max(0, amount - local(account))
+        for account, amount in amounts.items()
+    }
+
+
 def find_level(demands: Iterable[float], capacity: float) -> float:
     """Return the max-min fair share; infinity if there is enough for all."""
     ranked = sorted(demands)
--- a/src/sesamespoke/serving/following.py
+++ b/src/sesamespoke/serving/following.py
@@ -276,7 +276,7 @@
     def _own_entry(self) -> bytes:
         row = {
             'host': self._cfg.host,
-            'data_centre': self._cfg.region,
+            'data_centre': self._cfg.data_centre,
             'peers': str(self._cfg.peers),
         }
         return json.dumps(row).encode()
--- a/src/sesamespoke/serving/load.py
+++ b/src/sesamespoke/serving/load.py
@@ -1,11 +1,11 @@
 """How much work is in flight at each endpoint, over the whole fleet.
 
-Own requests are counted exactly; those of other routers as they report
-them several times a second. A report that is older than ``STALE_SECONDS``
-counts no more: its sender is gone or cut off.
+Own requests are counted exactly; those of other routers as they, or carriers
+of their data centre, report them several times a second. A report that is
+older than ``STALE_SECONDS`` counts no more: its sender is gone or cut off.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 STALE_SECONDS = 3.0
@@ -50,6 +50,10 @@
     reading: float = 0
 
 
+_NOTHING = _Sum()
+_NO_REPORT = _Report(0, {})
+
+
 class LoadBook:
     """Work in flight by endpoint: own, and as peers report it."""
 
@@ -106,14 +110,56 @@
             for endpoint, own in self._own.items()
         )
 
-    def take(self, host: str, rows: tuple[LoadRow, ...]) -> None:
-        """Replace what a peer reported before."""
+    def sum_with(self, hosts: Iterable[str]) -> tuple[LoadRow, ...]:
+        """Return this router's loads and those that some peers reported."""
+        sums = {
+            name: _Sum(running, reading)
+            for name, running, reading in self.rows()
+        }
+        for host in hosts:
+            report = self._reports.get(host, _NO_REPORT)
+            for endpoint, load in report.loads.items():
+                part = sums.setdefault(endpoint, _Sum())
+                part.running += load.running
+                part.reading += load.reading
+        return tuple(
+            (name, part.running, round(part.reading))
+            for name, part in sums.items()
+        )
+
+    def subtract_own(self, rows: tuple[LoadRow, ...]) -> tuple[LoadRow, ...]:
+        """Return the sums of several routers without this one's part."""
+        own = self._own
+        others = (
+            (
+                endpoint,
+                running - own.get(endpoint, _NOTHING).running,
+                round(max(0, reading - own.get(endpoint, _NOTHING).reading)),
+            )
+            for endpoint, running, reading in rows
+        )
+        return tuple(row for row in others if row[1] > 0)
+
+    def take(
+        self,
+        host: str,
+        rows: tuple[LoadRow, ...],
+        age: float = 0,
+    ) -> None:
+        """Replace what a peer reported before, if this is newer.
+
+        ``age`` is how old the report is, in seconds.
+        """
+        taken_at = self._clock() - age
+        before = self._reports.get(host)
+        if before is not None and before.taken_at > taken_at:
+            return
         self.forget(host)
         loads = {
             endpoint: Load(running, reading)
             for endpoint, running, reading in rows
         }
-        self._reports[host] = _Report(self._clock(), loads)
+        self._reports[host] = _Report(taken_at, loads)
         self._add(loads, 1)
 
     def forget(self, host: str) -> None:
--- /dev/null
+++ b/src/sesamespoke/serving/load_exchange.py
@@ -0,0 +1,33 @@
+"""All that one router tells others of loads, and hears from them."""
+
+import asyncio
+from collections.abc import Callable
+
+from sesamespoke.serving.fairness import FairShares
+from sesamespoke.serving.load import LoadBook
+from sesamespoke.serving.peer_loads import Broadcaster, PeerLoads
+from sesamespoke.serving.site_loads import SiteReports
+
+
+class LoadExchange:
+    """The reports of this router, and the sums of data centres."""
+
+    def __init__(
+        self,
+        links: Broadcaster,
+        loads: LoadBook,
+        shares: FairShares,
+        clock: Callable[[], float],
+    ) -> None:
+        """Listen to others; nothing is sent before ``tasks``."""
+        self._near = PeerLoads(links, loads, shares)
+        self._sites = SiteReports(
+            links, loads, shares, self._near.carriers, clock
+        )
+        self.note_ask = self._near.note_ask
+        self.note_grant = self._near.note_grant
+
+    def tasks(self) -> list[asyncio.Task[None]]:
+        """Start to send; return the tasks."""
+        loops = (self._near.run(), self._sites.run())
+        return [asyncio.create_task(loop) for loop in loops]
--- a/src/sesamespoke/serving/news.py
+++ b/src/sesamespoke/serving/news.py
@@ -1,10 +1,10 @@
-"""A few routers read the platform's lists, and tell the others.
+"""A router of each data centre reads the platform's lists for all there.
 
 The load they answer: a store whose rate grows more slowly than the fleet.
-The first ``READERS`` routers in a hashed order read; the others take their
-word, as long as it comes and is not older than what they know. A router
-that hears nothing for a while reads by itself, so that a reader that is
-frozen or cut off costs no more than ``PATIENCE`` turns.
+The first router in a hashed order reads; the others take its word, as long
+as it comes and is not older than what they know. A router that hears nothing
+for a while reads by itself, so that a reader that is frozen or cut off costs
+no more than ``PATIENCE`` turns.
 """
 
 import asyncio
@@ -12,7 +12,6 @@
 
 import xxhash
 
-from sesamespoke.links import View
 from sesamespoke.routing_messages import EndpointList, EndpointRow
 from sesamespoke.serving.directory import (
     Directory,
@@ -21,8 +20,6 @@
 )
 from sesamespoke.serving.peer_loads import Broadcaster
 
-READERS = 3
-"""One may be frozen and one cut off, and the lists still come."""
 PATIENCE = 1.6
 """Turns of the readers after which a router reads by itself."""
 MS_PER_SECOND = 1000
@@ -44,8 +41,9 @@
         links.subscribe(EndpointList, self._take)
 
     def is_reader(self) -> bool:
-        """Return whether this router is one of those that read."""
-        return self._links.host in first_hosts(self._links.view, READERS)
+        """Return whether this router reads for its data centre."""
+        near = self._links.view.hosts(self._links.data_centre)
+        return self._links.host == min(near, key=_hash_of, default=None)
 
     def must_read(self, interval: float) -> bool:
         """Return whether to read now, as a reader or for lack of news."""
@@ -84,11 +82,6 @@
             self._directory.confirm(message.revision)
 
 
-def first_hosts(view: View, count: int) -> tuple[str, ...]:
-    """Return the routers that act for all: the first by their hash."""
-    return tuple(sorted(view.hosts(), key=_hash_of)[:count])
-
-
 def _write(endpoint: ListedEndpoint, now: float) -> EndpointRow:
     cold = max(0, endpoint.cold_until - now)
     return (  # noqa: WPS227 (a row of the message)
--- a/src/sesamespoke/serving/peer_loads.py
+++ b/src/sesamespoke/serving/peer_loads.py
@@ -1,8 +1,11 @@
 """Routers tell each other what they have in flight and have granted.
 
 The load they answer: several routers that see the same shortest queue and
-all send there, and an account that spreads its flood over all of them.
-Reports are soft state: whole where a loss would matter, and of sums.
+all send there, and an account that spreads its flood over all of them. In a
+data centre of few hosts each tells all others. In a larger one each tells
+the carriers, whose sums go to all (see ``site_loads``): what a host sends
+and takes then does not grow with the fleet. Reports are soft state: whole
+where a loss would matter, and of sums.
 """
 
 import asyncio
@@ -11,24 +14,70 @@
 
 from sesamespoke.links import Links, View
 from sesamespoke.messages import Message
+from sesamespoke.placement import rank_hosts
 from sesamespoke.routing_messages import RouterLoads
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.load import LoadBook, LoadRow
 
 REPORT_SECONDS = 0.1
 """Delay of a report; an engine is given a few requests in that time."""
-FEW_HOSTS = 20
-"""Above so many hosts reports come more slowly, so that what one host sends
-and takes in a second grows no further."""
+FEW_HOSTS = 8
+"""Hosts of a data centre that tell each other directly: up to so many, that
+takes fewer messages than a way by carriers."""
+CARRIERS = 2
+"""One may be frozen or cut off, and sums still come."""
 REPEAT_TURNS = 10
 """An unchanged report is sent again every so many turns."""
 
 
 class Broadcaster(Links, Protocol):
-    """Links that send one message to all members."""
+    """Links that send one message to many."""
 
     def broadcast(self, message: Message) -> None:
-        """Queue a message to every other member."""
+        """Queue a message to the other hosts of this data centre."""
+
+    def spread(self, data_centre: str, message: Message) -> bool:
+        """Queue a message to all hosts of another data centre.
+
+        It may be lost unnoticed. Returns whether there is a way to them.
+        """
+
+
+class Carriers:
+    """Which hosts of the own data centre carry sums for all."""
+
+    def __init__(self, links: Links) -> None:
+        """Follow the view of who is there."""
+        self._links = links
+        self._number = -1
+        self._is_crowded = False
+        self._hosts: tuple[str, ...] = ()
+
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """Return the carriers, by rendezvous over the hosts seen now."""
+        self._look()
+        return self._hosts
+
+    @property
+    def is_crowded(self) -> bool:
+        """Return whether hosts tell the carriers alone."""
+        self._look()
+        return self._is_crowded
+
+    def is_own(self) -> bool:
+        """Return whether this host is a carrier."""
+        return self._links.host in self.hosts
+
+    def _look(self) -> None:
+        view = self._links.view
+        if view.number == self._number:
+            return
+        self._number = view.number
+        near = view.hosts(self._links.data_centre)
+        self._is_crowded = len(near) > FEW_HOSTS
+        ranked = rank_hosts('carrier', near)
+        self._hosts = tuple(ranked[:CARRIERS])
 
 
 class PeerLoads:
@@ -41,12 +90,14 @@
         shares: FairShares,
     ) -> None:
         """Listen to peers; ``run`` sends."""
+        self.carriers = Carriers(links)
         self._links = links
         self._loads = loads
         self._shares = shares
         self._asked: defaultdict[str, float] = defaultdict(float)
         self._granted: defaultdict[str, float] = defaultdict(float)
-        self._told: tuple[LoadRow, ...] = ()
+        self._told: tuple[LoadRow, ...] | None = None
+        self._told_hosts: tuple[str, ...] = ()
         self._hosts: frozenset[str] = frozenset()
         links.subscribe(RouterLoads, self._take)
         links.on_view(self._watch_view)
@@ -63,18 +114,25 @@
         """Send reports until cancelled."""
         turn = 0
         while True:
-            hosts = len(self._links.view.hosts())
-            await asyncio.sleep(REPORT_SECONDS * max(1, hosts / FEW_HOSTS))
+            await asyncio.sleep(REPORT_SECONDS)
             turn += 1
             self._report(forced=turn % REPEAT_TURNS == 0)
 
     def _report(self, *, forced: bool) -> None:
         rows = self._loads.rows()
         accounts = self._take_accounts()
-        if not (rows != self._told or accounts or forced):
+        hosts = self.carriers.hosts if self.carriers.is_crowded else ()
+        is_news = rows != self._told or hosts != self._told_hosts
+        if not (is_news or accounts or forced):
             return
         self._told = rows
-        self._links.broadcast(RouterLoads(rows, accounts))
+        self._told_hosts = hosts
+        message = RouterLoads(rows, accounts)
+        if not hosts:
+            self._links.broadcast(message)
+        for host in hosts:
+            if host != self._links.host:
+                self._links.send(host, message)
 
     def _take_accounts(self) -> tuple[tuple[str, int, int], ...]:
         """Return what accounts asked and got since the last report."""
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -18,8 +18,8 @@
 from sesamespoke.serving.fleet_size import FleetSize
 from sesamespoke.serving.following import Follower
 from sesamespoke.serving.intake import ReadHead
+from sesamespoke.serving.load_exchange import LoadExchange
 from sesamespoke.serving.news import News
-from sesamespoke.serving.peer_loads import PeerLoads
 from sesamespoke.serving.ports import Feeds
 from sesamespoke.serving.pressure import LoopPressure
 from sesamespoke.serving.retry_budget import RetryShare
@@ -84,10 +84,11 @@
         )
         self._shares = FairShares(self._clock, self._token_rate)
         self._rooms: dict[str, WaitingRoom[Reservation]] = {}
-        self._loads = PeerLoads(
+        self._loads = LoadExchange(
             self.peers,
             self.chooser.loads,
             self._shares,
+            self._clock,
         )
         self._budgets: dict[str, RetryShare] = {}
         self.pool = ConnectionPool(POOL)
@@ -145,7 +146,7 @@
         await self.peers.start()
         self._tasks = [
             *self.follower.tasks(),
-            asyncio.create_task(self._loads.run()),
+            *self._loads.tasks(),
             asyncio.create_task(self.pressure.run()),
         ]
         log.info('started', host=self.cfg.host, zone=self.cfg.data_centre)
--- a/src/sesamespoke/serving/settings.py
+++ b/src/sesamespoke/serving/settings.py
@@ -40,14 +40,12 @@
 class ServingSettings:
     """Everything that one process learns before it starts.
 
-    ``region`` is the part of the fleet whose routers tell each other their
-    loads; ``peers`` is the address for that. ``max_callers`` bounds the
-    open connections of callers.
+    ``peers`` is the address for the streams of other routers.
+    ``max_callers`` bounds the open connections of callers.
     """
 
     host: str
     data_centre: str
-    region: str
     callers: Address
     ready: Address
     metrics: Address
@@ -59,10 +57,10 @@
 
 
 def peer_settings(cfg: ServingSettings) -> Settings:
-    """Return what the peer streams need; they span the region."""
+    """Return what the peer streams need."""
     return Settings(
         host=cfg.host,
-        data_centre=cfg.region,
+        data_centre=cfg.data_centre,
         callers=cfg.callers,
         admin=cfg.metrics,
         peers=cfg.peers,
