Load pydantic only where operators' files are read

Those classes are plain data classes now, with the same bounds as annotations; whoever reads a file checks it as before. The poll of the host list, which checks what it is answered, is a module of its own.

--- a/src/sesamespoke/document.py
+++ b/src/sesamespoke/document.py
@@ -13,6 +13,7 @@
 from pydantic import TypeAdapter
 
 from sesamespoke import json_lines, jsonc
+from sesamespoke.constraints import Name
 from sesamespoke.document_checks import check_references
 from sesamespoke.problems import Problem, validate_text
 from sesamespoke.world import (
@@ -20,7 +21,6 @@
     Capacity,
     DataCentre,
     Document,
-    Name,
     Service,
 )
 
--- a/src/sesamespoke/peers.py
+++ b/src/sesamespoke/peers.py
@@ -36,7 +36,7 @@
         self.host = cfg.host
         self.data_centre = cfg.data_centre
         self.port = 0
-        self.host_list = HostList(cfg, metrics)
+        self.host_list = HostList(cfg.seeds)
         incarnation = timeline.clock.now().wall_ms
         self.membership = Membership(cfg, timeline, incarnation)
         self._subscribers = Subscribers()
@@ -104,7 +104,6 @@
         self._take_hosts()
         self.membership.await_known()
         self._tasks = [
-            asyncio.create_task(self.host_list.poll()),
             asyncio.create_task(self._heartbeats.run()),
             asyncio.create_task(self._keep_partners()),
             asyncio.create_task(self.mesh.watch_keys()),
--- a/src/sesamespoke/router.py
+++ b/src/sesamespoke/router.py
@@ -5,6 +5,7 @@
 from sesamespoke.admin import AdminServer
 from sesamespoke.callers import CallerParts, CallerServer
 from sesamespoke.claims import Claims
+from sesamespoke.host_list_poll import HostListPoll
 from sesamespoke.metrics import Metrics
 from sesamespoke.peers import PeerStreams
 from sesamespoke.quarantine import Quarantine
@@ -83,7 +84,9 @@
         self.peers.host_list.on_leaving_endpoints(self.roles.set_leaving)
         await self.peers.start()
         await self.rollout.start()
+        listing = HostListPoll(self.cfg, self.peers.host_list, self.metrics)
         self._tasks = [
+            asyncio.create_task(listing.run()),
             asyncio.create_task(self.queues.run()),
             asyncio.create_task(self.roles.run()),
         ]
--- a/src/sesamespoke/serving/following.py
+++ b/src/sesamespoke/serving/following.py
@@ -9,11 +9,12 @@
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing, suppress
 from dataclasses import dataclass
+from typing import Final
 
 import structlog
 import xxhash
 
-from sesamespoke.host_list import HostList
+from sesamespoke.host_list import HostList, KnownHost
 from sesamespoke.serving.catalog import Catalog
 from sesamespoke.serving.directory import (
     Directory,
@@ -24,11 +25,14 @@
 from sesamespoke.serving.ports import BadEntry, Evacuation, Feeds, Order
 from sesamespoke.serving.serving_call import Log
 from sesamespoke.serving.settings import ServingSettings
+from sesamespoke.settings import Address
 from sesamespoke.store import Entry, Lease, Put, StoreUnavailable
 
 HOST_PREFIX = 'sesamespoke/hosts/'
 RETRY_SECONDS = 0.3
 """The pause before the store is asked again that did not answer."""
+MALFORMED: Final = (ValueError, TypeError, KeyError, AttributeError)
+"""What reading an entry of another writer may raise."""
 
 
 log = structlog.get_logger()
@@ -232,10 +236,17 @@
         while True:
             listed = await self._feeds.list_hosts(HOST_PREFIX)
             if not isinstance(listed, StoreUnavailable):
-                rows = [row for row in map(_read_host, listed) if row]
-                self._hosts.take({'entry_hosts': rows})
+                known = filter(None, map(self._read_host, listed))
+                self._hosts.put_hosts({each.host: each for each in known})
             await asyncio.sleep(self._hosts_pause())
 
+    def _read_host(self, entry: Entry) -> KnownHost | None:
+        """Return the host of an entry; None if it names none to meet."""
+        known = _read_host(entry.content)
+        if known is None:
+            self._log('entry_ignored', key=entry.key, why='no host')
+        return known
+
     def _hosts_pause(self) -> float:
         """Return the seconds to the next reading; few until it lists us."""
         feeds = self._cfg.feeds
@@ -282,11 +293,17 @@
         return json.dumps(row).encode()
 
 
-def _read_host(entry: Entry) -> object:
-    """Return the row of a host; an empty entry is of one that left."""
+def _read_host(content: bytes) -> KnownHost | None:
+    """Return the host that an entry names; None if it can't be read."""
     try:
-        return json.loads(entry.content) if entry.content else None
-    except ValueError:
+        row = json.loads(content)
+        ip, _, port = row['peers'].rpartition(':')
+        return KnownHost(
+            str(row['host']),
+            str(row['data_centre']),
+            Address(ip, int(port)),
+        )
+    except MALFORMED:
         return None
 
 
--- a/src/sesamespoke/settings.py
+++ b/src/sesamespoke/settings.py
@@ -1,71 +1,81 @@
 """The settings of one process, checked once and passed whole."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Annotated
 
-from pydantic import ConfigDict, Field
-from pydantic.dataclasses import dataclass
+from annotated_types import Ge, Le
 
-from sesamespoke.world import Name, Positive
+from sesamespoke.constraints import STRICT, Name, Positive
 
-_STRICT = ConfigDict(extra='forbid', allow_inf_nan=False)
 
-
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Address:
     """An IP number and a TCP port; port 0 asks for any free one."""
 
+    __pydantic_config__ = STRICT
+
     ip: str
-    port: Annotated[int, Field(ge=0, le=65_535)]
+    port: Annotated[int, Ge(0), Le(65_535)]
 
     def __str__(self) -> str:
         """Return the usual ``ip:port`` form."""
         return f'{self.ip}:{self.port}'
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Seed:
     """A peer that is tried first, before the host list is known."""
 
+    __pydantic_config__ = STRICT
+
     host: Name
     data_centre: Name
     address: Address
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class TLSFiles:
     """Paths of the PEM files of a mutually authenticated connection."""
 
+    __pydantic_config__ = STRICT
+
     certificate: str
     key: str
     authority: str
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Operator:
     """An operators' team: its token's digest and the sections it owns."""
 
+    __pydantic_config__ = STRICT
+
     token_sha256: str
     sections: tuple[str, ...]
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class StoreSettings:
     """Where the platform's key-value service answers, and how long to wait.
 
     A watch that says nothing for ``watch_idle_seconds`` is opened anew.
     """
 
+    __pydantic_config__ = STRICT
+
     urls: tuple[str, ...]
     timeout_seconds: Positive = 2
     watch_idle_seconds: Positive = 60
     prefix: str = '/sesamespoke/'
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Timing:
     """Intervals of the protocols between entry hosts, in seconds."""
 
+    __pydantic_config__ = STRICT
+
     heartbeat: Positive = 0.5
     suspect_after: Positive = 1.5
     report_interval: Positive = 0.02
@@ -74,7 +84,7 @@
     host_list_interval: Positive = 1.0
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class ClaimSettings:
     """How idempotency keys are claimed; times in seconds.
 
@@ -83,18 +93,22 @@
     ``batch_interval``. Answers longer than ``kept_body_bytes`` are not kept.
     """
 
+    __pydantic_config__ = STRICT
+
     period: Positive = 14_400
-    partitions: Annotated[int, Field(ge=1, le=64)] = 2
+    partitions: Annotated[int, Ge(1), Le(64)] = 2
     batch_interval: Positive = 0.025
     max_wait: Positive = 5
-    kept_body_bytes: Annotated[int, Field(ge=0, le=8192)] = 4096
-    known_claims: Annotated[int, Field(ge=1)] = 50_000
+    kept_body_bytes: Annotated[int, Ge(0), Le(8192)] = 4096
+    known_claims: Annotated[int, Ge(1)] = 50_000
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Settings:
     """Everything that one router process learns before it starts."""
 
+    __pydantic_config__ = STRICT
+
     host: Name
     data_centre: Name
     callers: Address
@@ -105,7 +119,7 @@
     host_list_url: str | None = None
     peer_tls: TLSFiles | None = None
     admin_tls: TLSFiles | None = None
-    operators: Mapping[str, Operator] = Field(default_factory=dict)
+    operators: Mapping[str, Operator] = field(default_factory=dict)
     timing: Timing = Timing()
     claims: ClaimSettings = ClaimSettings()
     drain_seconds: Positive = 120
--- a/src/sesamespoke/world.py
+++ b/src/sesamespoke/world.py
@@ -5,18 +5,20 @@
 """
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 from enum import Enum
 from typing import Annotated
 
-from pydantic import ConfigDict, Field
-from pydantic.dataclasses import dataclass
+from annotated_types import Ge, Le
 
-_STRICT = ConfigDict(extra='forbid', allow_inf_nan=False)
-
-Positive = Annotated[float, Field(gt=0)]
-NonNegative = Annotated[float, Field(ge=0)]
-Ratio = Annotated[float, Field(ge=0, le=1)]
-Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9._-]{0,62}$')]
+from sesamespoke.constraints import (
+    STRICT,
+    Name,
+    NonNegative,
+    Pattern,
+    Positive,
+    Ratio,
+)
 
 
 class ServiceKind(Enum):
@@ -40,16 +42,18 @@
     LEAVING = 'leaving'
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Pool:
     """Cost units charged per input token, output token and busy second."""
 
+    __pydantic_config__ = STRICT
+
     input_token: NonNegative = 0
     output_token: NonNegative = 0
     second: NonNegative = 0
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Capacity:
     """How capacity is shared: pools by name and fleet-wide policy.
 
@@ -58,39 +62,47 @@
     fraction of fresh requests.
     """
 
+    __pydantic_config__ = STRICT
+
     pools: Mapping[Name, Pool]
     locality_slack: NonNegative = 1
     retry_ratio: Ratio = 0.1
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Account:
     """A client account: its share, its keys and its bound on waiting work."""
 
+    __pydantic_config__ = STRICT
+
     share: Positive
     api_key_sha256: tuple[str, ...]
-    max_waiting: Annotated[int, Field(ge=1, le=100_000)] = 1000
+    max_waiting: Annotated[int, Ge(1), Le(100_000)] = 1000
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class DataCentre:
     """A data centre; out of service it takes no new work."""
 
+    __pydantic_config__ = STRICT
+
     region: str
     in_service: bool = True
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class CallRule:
     """Whether calls of one method and path prefix may be repeated."""
 
+    __pydantic_config__ = STRICT
+
     method: str
     path: str
     idempotent: bool
     key_header: str = 'Idempotency-Key'
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Contract:
     """What a service's endpoints promise.
 
@@ -99,6 +111,8 @@
     and HEAD are not idempotent for applications; language calls are.
     """
 
+    __pydantic_config__ = STRICT
+
     calls: tuple[CallRule, ...] = ()
     not_run_statuses: tuple[int, ...] = ()
     echoes_request_id: bool = False
@@ -106,7 +120,7 @@
     checks_fencing: bool = False
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Limit:
     """Bounds on the work in flight at one endpoint.
 
@@ -116,23 +130,27 @@
     later than ``first_token_seconds`` shrink the limit.
     """
 
-    cold: Annotated[int, Field(ge=1)]
-    warm: Annotated[int, Field(ge=1)]
+    __pydantic_config__ = STRICT
+
+    cold: Annotated[int, Ge(1)]
+    warm: Annotated[int, Ge(1)]
     unit: LimitUnit = LimitUnit.REQUESTS
     first_token_seconds: Positive = 0.47
-    warm_after: Annotated[int, Field(ge=1)] = 8
+    warm_after: Annotated[int, Ge(1)] = 8
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Endpoint:
     """A back end of one service: its base URL and data centre."""
 
-    url: Annotated[str, Field(pattern=r'^https?://[^/]+$')]
+    __pydantic_config__ = STRICT
+
+    url: Annotated[str, Pattern(r'^https?://[^/]+$')]
     data_centre: Name
     state: EndpointState = EndpointState.ACTIVE
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Service:
     """A service that callers reach, and its endpoints by name.
 
@@ -140,20 +158,24 @@
     the protocol's and the service's name is the model.
     """
 
+    __pydantic_config__ = STRICT
+
     kind: ServiceKind
     pool: Name
     limit: Limit
     endpoints: Mapping[Name, Endpoint]
-    path: Annotated[str, Field(pattern='^/')] = '/v1/chat/completions'
+    path: Annotated[str, Pattern('^/')] = '/v1/chat/completions'
     contract: Contract = Contract()
     deadline_seconds: Positive = 60
-    max_body_bytes: Annotated[int, Field(ge=1)] = 1_048_576
+    max_body_bytes: Annotated[int, Ge(1)] = 1_048_576
 
 
-@dataclass(frozen=True, config=_STRICT)
+@dataclass(frozen=True)
 class Document:
     """One whole configuration, as the operators' sections state it."""
 
+    __pydantic_config__ = STRICT
+
     capacity: Capacity
     accounts: Mapping[Name, Account]
     data_centres: Mapping[Name, DataCentre]
