--- a/src/sesamespoke/serving/site_loads.py
+++ b/src/sesamespoke/serving/site_loads.py
@@ -21,7 +21,7 @@
 from sesamespoke.serving.load import STALE_SECONDS, LoadBook
 from sesamespoke.serving.peer_loads import Broadcaster, Carriers
 
-TELL_SECONDS = 0.2
+TELL_SECONDS = 0.1
 """The interval of each carrier; there are two, so that sums come as often as
 the reports from which they are made."""
 SETTLE_SECONDS = 0.5
