Tell loads directly in fleets of few hosts, and bound what a host takes

Up to 16 hosts each keeps streams to all others and tells them itself, as before; sums then come once a second, for data centres that can't reach each other. In larger fleets carriers slow down so that at most 25 sums a second reach a host.

--- a/src/sesamespoke/partners.py
+++ b/src/sesamespoke/partners.py
@@ -11,6 +11,8 @@
 from sesamespoke.settings import Settings
 
 GATEWAYS: Final = 2
+FULL_MESH_HOSTS: Final = 16
+"""Listed hosts up to which each keeps a stream to all others."""
 LINGER_SECONDS: Final = 5.0
 RETRY_OTHER_SECONDS: Final = 10.0
 
@@ -27,8 +29,8 @@
 class Partners:
     """Picks the far hosts for which this host is a gateway.
 
-    A stream that is no longer wanted is kept a little, until the new
-    gateways have theirs.
+    Where hosts are few, those are all far hosts. A stream that is no longer
+    wanted is kept a little, until the new gateways have theirs.
     """
 
     def __init__(
@@ -53,7 +55,10 @@
             for member in view.members
             if member.data_centre == self._data_centre and not member.leaving
         ]
-        picked: Iterable[str] = self._pick(near, now)
+        listed = self._host_list.hosts
+        picked: Iterable[str] = listed.keys() - near
+        if len(listed) > FULL_MESH_HOSTS:
+            picked = self._pick(near, now)
         if view.stale or self._own not in near:
             picked = tuple(self._wanted_until)
         for host in picked:
--- a/src/sesamespoke/peers.py
+++ b/src/sesamespoke/peers.py
@@ -1,7 +1,7 @@
 """Streams to the other entry hosts: ``links.Links`` over TCP."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from sesamespoke.codec import encode
 from sesamespoke.gateways import Gateways
@@ -126,11 +126,12 @@
         return self.mesh.write(host, frame) or self._relays.send(host, frame)
 
     def broadcast(self, message: Message) -> None:
-        """Queue a message to the other hosts of this data centre."""
-        frame = encode(message, self.mesh.names.shorten())
-        for host in self.view.hosts(self.data_centre):
-            if host != self.host and not self.mesh.write(host, frame):
-                self._relays.send(host, frame)
+        """Queue a message to every other member, encoded once."""
+        self._send_all(self.view.hosts(), message)
+
+    def broadcast_near(self, message: Message) -> None:
+        """Queue a message to the other members of this data centre."""
+        self._send_all(self.view.hosts(self.data_centre), message)
 
     def spread(self, data_centre: str, message: Message) -> bool:
         """Queue a message to all hosts of another data centre.
@@ -170,6 +171,12 @@
         """Look for new keys at once, not only at the next check."""
         self.mesh.check_keys.set()
 
+    def _send_all(self, hosts: Iterable[str], message: Message) -> None:
+        frame = encode(message, self.mesh.names.shorten())
+        for host in hosts:
+            if host != self.host and not self.mesh.write(host, frame):
+                self._relays.send(host, frame)
+
     def _take_hosts(self) -> None:
         """Take a changed list of hosts into account."""
         self.membership.set_known(
--- a/src/sesamespoke/serving/load.py
+++ b/src/sesamespoke/serving/load.py
@@ -5,6 +5,7 @@
 older than ``STALE_SECONDS`` counts no more: its sender is gone or cut off.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
@@ -51,7 +52,7 @@
 
 
 _NOTHING = _Sum()
-_NO_REPORT = _Report(0, {})
+_NO_REPORT = _Report(-math.inf, {})
 
 
 class LoadBook:
@@ -162,6 +163,11 @@
         self._reports[host] = _Report(taken_at, loads)
         self._add(loads, 1)
 
+    def hears(self, host: str) -> bool:
+        """Return whether a peer's own report counts now."""
+        report = self._reports.get(host, _NO_REPORT)
+        return report.taken_at >= self._clock() - STALE_SECONDS
+
     def forget(self, host: str) -> None:
         """Drop the report of a peer that has gone."""
         report = self._reports.pop(host, None)
--- a/src/sesamespoke/serving/peer_loads.py
+++ b/src/sesamespoke/serving/peer_loads.py
@@ -2,18 +2,20 @@
 
 The load they answer: several routers that see the same shortest queue and
 all send there, and an account that spreads its flood over all of them. In a
-data centre of few hosts each tells all others. In a larger one each tells
-the carriers, whose sums go to all (see ``site_loads``): what a host sends
-and takes then does not grow with the fleet. Reports are soft state: whole
-where a loss would matter, and of sums.
+fleet of few hosts each tells all others. In a larger one each tells its data
+centre, or where that is large too, the carriers, whose sums go to all (see
+``site_loads``): what a host sends and takes does not grow with the fleet.
+Reports are soft state: whole where a loss would matter, and of sums.
 """
 
 import asyncio
 from collections import defaultdict
+from enum import Enum
 from typing import Protocol
 
 from sesamespoke.links import Links, View
 from sesamespoke.messages import Message
+from sesamespoke.partners import FULL_MESH_HOSTS
 from sesamespoke.placement import rank_hosts
 from sesamespoke.routing_messages import RouterLoads
 from sesamespoke.serving.fairness import FairShares
@@ -24,6 +26,8 @@
 FEW_HOSTS = 8
 """Hosts of a data centre that tell each other directly: up to so many, that
 takes fewer messages than a way by carriers."""
+SMALL_FLEET = FULL_MESH_HOSTS
+"""Hosts of a fleet that tell each other directly, each by its own stream."""
 CARRIERS = 2
 """One may be frozen or cut off, and sums still come."""
 REPEAT_TURNS = 10
@@ -34,7 +38,10 @@
     """Links that send one message to many."""
 
     def broadcast(self, message: Message) -> None:
-        """Queue a message to the other hosts of this data centre."""
+        """Queue a message to every other member."""
+
+    def broadcast_near(self, message: Message) -> None:
+        """Queue a message to the other members of this data centre."""
 
     def spread(self, data_centre: str, message: Message) -> bool:
         """Queue a message to all hosts of another data centre.
@@ -43,6 +50,14 @@
         """
 
 
+class Audience(Enum):
+    """Whom a router tells its own loads."""
+
+    EVERYBODY = 'everybody'
+    DATA_CENTRE = 'data centre'
+    CARRIERS = 'carriers'
+
+
 class Carriers:
     """Which hosts of the own data centre carry sums for all."""
 
@@ -50,7 +65,7 @@
         """Follow the view of who is there."""
         self._links = links
         self._number = -1
-        self._is_crowded = False
+        self._audience = Audience.EVERYBODY
         self._hosts: tuple[str, ...] = ()
 
     @property
@@ -60,10 +75,10 @@
         return self._hosts
 
     @property
-    def is_crowded(self) -> bool:
-        """Return whether hosts tell the carriers alone."""
+    def audience(self) -> Audience:
+        """Return whom the hosts of this data centre tell their loads."""
         self._look()
-        return self._is_crowded
+        return self._audience
 
     def is_own(self) -> bool:
         """Return whether this host is a carrier."""
@@ -75,11 +90,18 @@
             return
         self._number = view.number
         near = view.hosts(self._links.data_centre)
-        self._is_crowded = len(near) > FEW_HOSTS
+        self._audience = _choose_audience(len(view.members), len(near))
         ranked = rank_hosts('carrier', near)
         self._hosts = tuple(ranked[:CARRIERS])
 
 
+def _choose_audience(members: int, near: int) -> Audience:
+    """Return whom routers tell, by the hosts seen and those of them near."""
+    if members <= SMALL_FLEET:
+        return Audience.EVERYBODY
+    return Audience.CARRIERS if near > FEW_HOSTS else Audience.DATA_CENTRE
+
+
 class PeerLoads:
     """Sends this router's loads, and takes those of its peers."""
 
@@ -91,6 +113,11 @@
     ) -> None:
         """Listen to peers; ``run`` sends."""
         self.carriers = Carriers(links)
+        self._send = {
+            Audience.EVERYBODY: links.broadcast,
+            Audience.DATA_CENTRE: links.broadcast_near,
+            Audience.CARRIERS: self._send_to_carriers,
+        }
         self._links = links
         self._loads = loads
         self._shares = shares
@@ -121,16 +148,16 @@
     def _report(self, *, forced: bool) -> None:
         rows = self._loads.rows()
         accounts = self._take_accounts()
-        hosts = self.carriers.hosts if self.carriers.is_crowded else ()
+        hosts = self.carriers.hosts
         is_news = rows != self._told or hosts != self._told_hosts
         if not (is_news or accounts or forced):
             return
         self._told = rows
         self._told_hosts = hosts
-        message = RouterLoads(rows, accounts)
-        if not hosts:
-            self._links.broadcast(message)
-        for host in hosts:
+        self._send[self.carriers.audience](RouterLoads(rows, accounts))
+
+    def _send_to_carriers(self, message: Message) -> None:
+        for host in self.carriers.hosts:
             if host != self._links.host:
                 self._links.send(host, message)
 
--- a/src/sesamespoke/serving/site_loads.py
+++ b/src/sesamespoke/serving/site_loads.py
@@ -4,6 +4,7 @@
 the others too late, or spend itself on hearing them all. A few carriers of
 each data centre know all of its routers and tell their sums: to their own
 hosts, where these are many, and to each other data centre in one message.
+Where routers hear each other directly, that counts instead of the sums.
 
 Reachability need not be transitive. Sums name the data centres that are
 heard directly, and one that a third lacks is passed on to it with its age:
@@ -19,11 +20,20 @@
 from sesamespoke.routing_messages import SiteLoads
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.load import STALE_SECONDS, LoadBook
-from sesamespoke.serving.peer_loads import Broadcaster, Carriers
+from sesamespoke.serving.peer_loads import (
+    CARRIERS,
+    Audience,
+    Broadcaster,
+    Carriers,
+)
 
 TELL_SECONDS = 0.1
-"""The interval of each carrier; there are two, so that sums come as often as
-the reports from which they are made."""
+"""The interval of each carrier, that of the reports that it adds up."""
+MAX_TAKEN_PER_SECOND = 25
+"""Sums that reach a host from all carriers, which slow down for it."""
+SPARE_TELL_SECONDS = 1.0
+"""The interval where each router tells all others: sums are then for those
+that some of them can't reach."""
 SETTLE_SECONDS = 0.5
 """A new carrier has heard each host of its data centre after so long."""
 MS_PER_SECOND = 1000
@@ -64,12 +74,19 @@
     async def run(self) -> None:
         """Send sums while this host is a carrier, until cancelled."""
         while True:
-            await asyncio.sleep(TELL_SECONDS)
+            await asyncio.sleep(self._interval())
             self._forget_silent()
             if self._has_settled():
                 self._forget_own_sums()
                 self._tell()
 
+    def _interval(self) -> float:
+        """Return the seconds until the next sums are due."""
+        if self._carriers.audience is Audience.EVERYBODY:
+            return SPARE_TELL_SECONDS
+        senders = CARRIERS * len(set(self._places.values()))
+        return max(TELL_SECONDS, senders / MAX_TAKEN_PER_SECOND)
+
     def _has_settled(self) -> bool:
         """Return whether this host is a carrier that has heard all."""
         if not self._carriers.is_own():
@@ -89,8 +106,8 @@
             self._shares.near_rows(own),
             tuple(self._heard_directly()),
         )
-        if self._carriers.is_crowded:
-            self._links.broadcast(message)
+        if self._carriers.audience is Audience.CARRIERS:
+            self._links.broadcast_near(message)
         for name in self._others():
             self._links.spread(name, message)
             for lacking in self._lacking(name):
@@ -135,6 +152,8 @@
             rows = self._loads.subtract_own(rows)
         else:
             self._note(sender, message, age)
+        if not is_own and self._hears_routers(name):
+            return
         self._loads.take(_source(name), rows, age)
         self._shares.take_site(name, message.accounts, age, is_own=is_own)
 
@@ -154,6 +173,13 @@
             member.host: member.data_centre for member in view.members
         }
 
+    def _hears_routers(self, data_centre: str) -> bool:
+        """Return whether routers of a data centre tell this one directly."""
+        return any(
+            name == data_centre and self._loads.hears(host)
+            for host, name in self._places.items()
+        )
+
     def _forget_own_sums(self) -> None:
         """Drop the sums of this data centre: each of its hosts reports."""
         self._loads.forget(_source(self._links.data_centre))
--- a/tests/test_serving_news.py
+++ b/tests/test_serving_news.py
@@ -53,6 +53,9 @@
         return View(1, (*members, *far))
 
     def broadcast(self, message: Message) -> None:
+        raise AssertionError('lists are told within the data centre')
+
+    def broadcast_near(self, message: Message) -> None:
         if not self.cut_off:
             self.wire.carry(self.host, message)
 
--- a/tests/test_site_loads.py
+++ b/tests/test_site_loads.py
@@ -17,9 +17,14 @@
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.load import LoadBook
 from sesamespoke.serving.peer_loads import FEW_HOSTS, PeerLoads
-from sesamespoke.serving.site_loads import SiteReports
+from sesamespoke.serving.site_loads import (
+    MAX_TAKEN_PER_SECOND,
+    SPARE_TELL_SECONDS,
+    SiteReports,
+)
 
 SMALL = {'marousi': 3, 'peiraias': 3, 'spata': 3}
+MIDDLE = {'marousi': 6, 'peiraias': 6, 'spata': 6}
 CROWDED = {'marousi': FEW_HOSTS + 2, 'spata': FEW_HOSTS + 3}
 MEETING_SECONDS = 6
 NEWS_SECONDS = 0.7
@@ -93,7 +98,7 @@
     run_on_loop_clock(coro)
 
 
-@pytest.mark.parametrize('sizes', [SMALL, CROWDED])
+@pytest.mark.parametrize('sizes', [SMALL, MIDDLE, CROWDED])
 def test_all_routers_know_the_work_in_flight_at_an_endpoint(
     sizes: dict[str, int],
 ) -> None:
@@ -113,7 +118,7 @@
     play(sizes, steps)
 
 
-@pytest.mark.parametrize('sizes', [SMALL, CROWDED])
+@pytest.mark.parametrize('sizes', [SMALL, MIDDLE, CROWDED])
 def test_what_accounts_ask_and_get_is_known_everywhere(
     sizes: dict[str, int],
 ) -> None:
@@ -147,12 +152,12 @@
         for host, router in fleet.routers.items():
             if host not in carriers:
                 assert router.taken[RouterLoads] == 0
-                assert router.taken[SiteLoads] <= 25 * seconds
+                assert router.taken[SiteLoads] <= MAX_TAKEN_PER_SECOND * seconds
 
     play(CROWDED, steps)
 
 
-@pytest.mark.parametrize('sizes', [SMALL, CROWDED])
+@pytest.mark.parametrize('sizes', [SMALL, MIDDLE, CROWDED])
 def test_a_carrier_that_dies_leaves_no_wrong_sum(
     sizes: dict[str, int],
 ) -> None:
@@ -171,16 +176,19 @@
     play(sizes, steps)
 
 
-def test_news_passes_by_a_third_data_centre_where_two_are_cut() -> None:
+@pytest.mark.parametrize('sizes', [SMALL, MIDDLE])
+def test_news_passes_by_a_third_data_centre_where_two_are_cut(
+    sizes: dict[str, int],
+) -> None:
     async def steps(fleet: Fleet) -> None:
         fleet.cut('marousi', 'spata')
         await asyncio.sleep(HEALED_SECONDS)
         for router in fleet.routers.values():
             router.book.begin('e', 10)
-        await asyncio.sleep(2 * NEWS_SECONDS)
+        await asyncio.sleep(SPARE_TELL_SECONDS + 2 * NEWS_SECONDS)
         assert fleet.seen() == {len(fleet.routers)}
 
-    play(SMALL, steps)
+    play(sizes, steps)
 
 
 @settings(max_examples=12, deadline=None)
