Don't take this host's lateness for an endpoint's failure

Cause: one host got a third of all callers and ran out of processor time. Its loop ran 0.1 to 0.4 s late, and connections that stood were given up, as the timer of 0.4 s had come due in the same turn: 284 of 292 failed attempts there. It then left those engines alone, and refused everything for lack of room, while their others were idle.

An overloaded host also asks its callers to open a new connection, since the balancer sends those elsewhere.

--- a/src/sesamespoke/endpoint_connections.py
+++ b/src/sesamespoke/endpoint_connections.py
@@ -14,6 +14,7 @@
 from urllib.parse import urlsplit
 
 from sesamespoke.framing import FramingError, Head, split_head
+from sesamespoke.loop_timeout import loop_timeout
 
 MAX_BUFFER_BYTES = 65_536
 MAX_IDLE_PER_ENDPOINT = 64
@@ -254,7 +255,7 @@
         port = HTTPS_PORT if secure else HTTP_PORT
         tls = ssl.create_default_context() if secure else None
         try:
-            async with asyncio.timeout(self._cfg.connect_seconds):
+            async with loop_timeout(self._cfg.connect_seconds):
                 _, conn = await asyncio.get_running_loop().create_connection(
                     lambda: Connection(url),
                     parts.hostname or '',
--- a/src/sesamespoke/serving/pressure.py
+++ b/src/sesamespoke/serving/pressure.py
@@ -4,7 +4,8 @@
 balancer ties a caller to a host, so that this host alone is out of processor
 time; its requests wait unread until their callers give up, and everybody
 else's with them. A host that runs late says that it is not ready, and the
-balancer gives new connections to others until it has caught up.
+balancer gives new connections to others until it has caught up; callers that
+are served meanwhile are asked to open a new one.
 """
 
 import asyncio
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -112,7 +112,7 @@
                 serving,
                 lambda: self.follower.orders.catalog,
                 read_head,
-                keeps=lambda: not self.stop.is_asked,
+                keeps=lambda: not (self.stop.is_asked or self.pressure.is_late),
                 closed=lambda: self.stop.closed,
                 lag=lambda: self.pressure.lag,
             ),
