--- a/tests/scores.py
+++ b/tests/scores.py
@@ -118,7 +118,7 @@
         '| site | days | baseline | newest |\n|---|---|---|---|\n',
     ]
     for site in sorted({row.site for row in newest.values()}):
-        means = []
+        means: list[tuple[int, float]] = []
         for rows in (baseline, newest):
             days = [
                 row.worth
