--- a/tests/scores.py
+++ b/tests/scores.py
@@ -126,9 +126,9 @@
                 if row.site == site and row.slot != 'quiet'
             ]
             means.append((len(days), sum(days) / len(days) if days else 0))
-        (first_days, first), (days, now) = means
+        (first_days, first), (now_days, now) = means
         shown = f'{first:.3f} ({first_days})' if first_days else '-'
-        lines.append(f'| {site} | {days} | {shown} | {now:.3f} |\n')
+        lines.append(f'| {site} | {now_days} | {shown} | {now:.3f} |\n')
     return ''.join(lines)
 
 
