Wake up less: no threads for addresses, no sums told twice

Tornado resolved each address in a pool of threads, at every call of the store and every peer stream; addresses here are IP numbers. Sums that are as before are told once a second, and the loop's lateness is looked at ten times a second instead of twenty, over the same spans.

--- a/src/sesamespoke/platform/kv_store.py
+++ b/src/sesamespoke/platform/kv_store.py
@@ -14,6 +14,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 
+from sesamespoke.ip_resolver import IpResolver
 from sesamespoke.settings import Address
 from sesamespoke.store import (
     Absent,
@@ -62,6 +63,7 @@
         self._client = AsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_PARALLEL_CALLS,
+            resolver=IpResolver(),
         )
 
     async def get(self, key: str) -> Entry | Absent | StoreUnavailable:
--- a/src/sesamespoke/serving/pressure.py
+++ b/src/sesamespoke/serving/pressure.py
@@ -13,16 +13,16 @@
 
 from sesamespoke.serving.serving_call import Log
 
-TICK_SECONDS = 0.05
+TICK_SECONDS = 0.1
 LATE_SECONDS = 0.08
 """A loop that is so late makes callers wait longer than they notice."""
-LATE_TICKS = 4
+LATE_TICKS = 2
 """Late ticks in a row: one alone is a pause of the host."""
 CALM_SECONDS = 0.03
-CALM_TICKS = 40
+CALM_TICKS = 20
 """Ticks in time before the host is ready again: two seconds, in which the
 balancer has taken it out of rotation."""
-SMOOTHING = 0.3
+SMOOTHING = 0.5
 """Weight of the newest tick in the lag."""
 
 
--- a/src/sesamespoke/serving/site_loads.py
+++ b/src/sesamespoke/serving/site_loads.py
@@ -34,6 +34,8 @@
 SPARE_TELL_SECONDS = 1.0
 """The interval where each router tells all others: sums are then for those
 that some of them can't reach."""
+REPEAT_SECONDS = 1.0
+"""Sums that are as before are told again after so long."""
 SETTLE_SECONDS = 0.5
 """A new carrier has heard each host of its data centre after so long."""
 MS_PER_SECOND = 1000
@@ -67,6 +69,8 @@
         self._clock = clock
         self._heard: dict[str, _Heard] = {}
         self._carries_since: float | None = None
+        self._told: SiteLoads | None = None
+        self._told_at: float = 0
         self._places: dict[str, str] = {}
         links.subscribe(SiteLoads, self._take)
         links.on_view(self._watch_view)
@@ -106,6 +110,11 @@
             self._shares.near_rows(own),
             tuple(self._heard_directly()),
         )
+        now = self._clock()
+        if message == self._told and now < self._told_at + REPEAT_SECONDS:
+            return
+        self._told = message
+        self._told_at = now
         if self._carriers.audience is Audience.CARRIERS:
             self._links.broadcast_near(message)
         for name in self._others():
--- a/src/sesamespoke/transport.py
+++ b/src/sesamespoke/transport.py
@@ -13,6 +13,7 @@
 from tornado.tcpserver import TCPServer
 
 from sesamespoke.connections import ByteStream
+from sesamespoke.ip_resolver import IpResolver
 from sesamespoke.metrics import Metrics
 from sesamespoke.peer_keys import PeerKeys, names_in
 from sesamespoke.settings import Address, Settings
@@ -53,7 +54,7 @@
         self._keys = (
             None if cfg.peer_tls is None else PeerKeys(cfg.peer_tls, metrics)
         )
-        self._client = TCPClient()
+        self._client = TCPClient(resolver=IpResolver())
         self._server: _Server | None = None
 
     def listen(self, address: Address, accept: Accept) -> int:
