--- a/src/sesamespoke/serving/load_exchange.py
+++ b/src/sesamespoke/serving/load_exchange.py
@@ -6,6 +6,7 @@
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.load import LoadBook
 from sesamespoke.serving.peer_loads import Broadcaster, PeerLoads
+from sesamespoke.serving.serving_call import Log
 from sesamespoke.serving.site_loads import SiteReports
 
 
@@ -18,11 +19,12 @@
         loads: LoadBook,
         shares: FairShares,
         clock: Callable[[], float],
+        log: Log,
     ) -> None:
         """Listen to others; nothing is sent before ``tasks``."""
         self._near = PeerLoads(links, loads, shares)
         self._sites = SiteReports(
-            links, loads, shares, self._near.carriers, clock
+            links, loads, shares, self._near.carriers, clock, log
         )
         self.note_ask = self._near.note_ask
         self.note_grant = self._near.note_grant
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -89,6 +89,7 @@
             self.chooser.loads,
             self._shares,
             self._clock,
+            log.info,
         )
         self._budgets: dict[str, RetryShare] = {}
         self.pool = ConnectionPool(POOL)
--- a/src/sesamespoke/serving/site_loads.py
+++ b/src/sesamespoke/serving/site_loads.py
@@ -26,6 +26,7 @@
     Broadcaster,
     Carriers,
 )
+from sesamespoke.serving.serving_call import Log
 
 TELL_SECONDS = 0.1
 """The interval of each carrier, that of the reports that it adds up."""
@@ -60,6 +61,7 @@
         shares: FairShares,
         carriers: Carriers,
         clock: Callable[[], float],
+        log: Log,
     ) -> None:
         """Listen to carriers; ``run`` sends."""
         self._links = links
@@ -67,6 +69,7 @@
         self._shares = shares
         self._carriers = carriers
         self._clock = clock
+        self._log = log
         self._heard: dict[str, _Heard] = {}
         self._carries_since: float | None = None
         self._told: SiteLoads | None = None
@@ -171,6 +174,13 @@
         now = self._clock()
         before = self._heard.get(message.data_centre)
         direct_at = before.direct_at if before else float('-inf')
+        if before is None:
+            self._log(
+                'data_centre_heard',
+                name=message.data_centre,
+                by=sender,
+                age_ms=message.age_ms,
+            )
         if self._places.get(sender) == message.data_centre:
             direct_at = now
         if before is None or before.made_at <= now - age:
@@ -200,11 +210,10 @@
 
     def _forget_silent(self) -> None:
         oldest = self._clock() - STALE_SECONDS
-        self._heard = {
-            name: heard
-            for name, heard in self._heard.items()
-            if heard.made_at >= oldest
-        }
+        for name, heard in tuple(self._heard.items()):
+            if heard.made_at < oldest:
+                del self._heard[name]
+                self._log('data_centre_unheard', name=name)
 
 
 def _source(data_centre: str) -> str:
--- a/tests/test_site_loads.py
+++ b/tests/test_site_loads.py
@@ -42,9 +42,15 @@
         self.shares = FairShares(clock)
         self.near = PeerLoads(peers, self.book, self.shares)
         self.sites = SiteReports(
-            peers, self.book, self.shares, self.near.carriers, clock
+            peers,
+            self.book,
+            self.shares,
+            self.near.carriers,
+            clock,
+            self._note_line,
         )
         self.taken: Counter[type] = Counter()
+        self.lines: list[tuple[str, object]] = []
         peers.subscribe(RouterLoads, self._count)
         peers.subscribe(SiteLoads, self._count)
         self.tasks = [
@@ -52,6 +58,9 @@
             asyncio.create_task(self.sites.run()),
         ]
 
+    def _note_line(self, event: str, /, **facts: object) -> None:
+        self.lines.append((event, facts['name']))
+
     def _count(self, sender: str, message: object) -> None:
         self.taken[type(message)] += 1
 
@@ -191,6 +200,26 @@
     play(sizes, steps)
 
 
+def test_a_data_centre_that_is_cut_off_is_told_once_as_unheard() -> None:
+    async def steps(fleet: Fleet) -> None:
+        fleet.cut('marousi', 'spata')
+        fleet.cut('peiraias', 'spata')
+        await asyncio.sleep(HEALED_SECONDS)
+        fleet.peers.heal()
+        await asyncio.sleep(HEALED_SECONDS)
+        lines = fleet.routers['marousi-0'].lines
+        assert sorted(lines[:2]) == [
+            ('data_centre_heard', 'peiraias'),
+            ('data_centre_heard', 'spata'),
+        ]
+        assert lines[2:] == [
+            ('data_centre_unheard', 'spata'),
+            ('data_centre_heard', 'spata'),
+        ]
+
+    play(MIDDLE, steps)
+
+
 @settings(max_examples=12, deadline=None)
 @given(
     st.lists(
