Refuse at once what an overloaded host can't serve in time

A request takes some four turns of the loop to its first byte. While a host goes on being late, a request whose objective is shorter than that is refused at once, with its connection closed, and the caller's next try reaches another host.

--- a/src/sesamespoke/serving/intake.py
+++ b/src/sesamespoke/serving/intake.py
@@ -76,14 +76,12 @@
     )
 
 
-def refuse_for_now() -> Refusal:
-    """Return the refusal of a router that can't serve yet, or no more."""
+def refuse_for_now(
+    retry_after: float = NOT_READY_RETRY_SECONDS,
+) -> Refusal:
+    """Return the refusal of a router that can't serve now."""
     refusal = refuse(NOT_READY)
-    return Refusal(
-        refusal.reason,
-        refusal.verdict,
-        retry_after=NOT_READY_RETRY_SECONDS,
-    )
+    return Refusal(refusal.reason, refusal.verdict, retry_after=retry_after)
 
 
 def _digest_of(call: Call, account: str) -> bytes:
--- a/src/sesamespoke/serving/pressure.py
+++ b/src/sesamespoke/serving/pressure.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 from sesamespoke.serving.serving_call import Log
@@ -16,8 +17,9 @@
 TICK_SECONDS = 0.1
 LATE_SECONDS = 0.08
 """A loop that is so late makes callers wait longer than they notice."""
-LATE_TICKS = 2
-"""Late ticks in a row: one alone is a pause of the host."""
+LATE_TICKS = 3
+RECENT_TICKS = 6
+"""So many late ticks among the recent ones: one alone is a pause."""
 CALM_SECONDS = 0.03
 CALM_TICKS = 20
 """Ticks in time before the host is ready again: two seconds, in which the
@@ -35,7 +37,7 @@
         self.is_late = False
         self._log = log
         self._active = active
-        self._late_ticks = 0
+        self._recent: deque[bool] = deque(maxlen=RECENT_TICKS)
         self._calm_ticks = 0
 
     async def run(self) -> None:
@@ -49,9 +51,9 @@
     def note(self, late: float) -> None:
         """Take into account how late one tick was, in seconds."""
         self.lag += SMOOTHING * (late - self.lag)
-        self._late_ticks = self._late_ticks + 1 if late >= LATE_SECONDS else 0
+        self._recent.append(late >= LATE_SECONDS)
         self._calm_ticks = self._calm_ticks + 1 if late <= CALM_SECONDS else 0
-        if not self.is_late and self._late_ticks >= LATE_TICKS:
+        if not self.is_late and sum(self._recent) >= LATE_TICKS:
             self._turn(late=True)
         elif self.is_late and self._calm_ticks >= CALM_TICKS:
             self._turn(late=False)
--- a/src/sesamespoke/serving/routed_server.py
+++ b/src/sesamespoke/serving/routed_server.py
@@ -17,12 +17,19 @@
 from sesamespoke.request_server import Ended, RequestServer, ServerSettings
 from sesamespoke.serving.catalog import CallerLimits, Catalog
 from sesamespoke.serving.intake import ReadHead, accept, refuse_for_now
+from sesamespoke.serving.job import Job
 from sesamespoke.serving.serving_call import ServingCall, ServingParts
 from sesamespoke.settings import Address
 from sesamespoke.verdicts import Refusal
 
+MS_PER_SECOND = 1000
 SHED_LAG = 0.12
 """Seconds; to serve what comes so late costs more than the next host does."""
+TURNS = 4
+"""Turns of the loop until a request has its first byte: it is read, has a
+connection, is sent, and its answer is read."""
+SHED_RETRY_SECONDS = 0.1
+"""A caller that comes back reaches another host."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +38,9 @@
 
     While it ``keeps`` connections, callers may use them again; once it has
     ``closed``, requests on connections that are still open are refused.
-    ``lag`` is how late the event loop is, in seconds.
+    ``lag`` is how late the event loop is, in seconds. A host that goes on
+    being late is ``overloaded``: it refuses what it can't serve in time, on
+    open connections too, since the next host still can.
     """
 
     serving: ServingParts
@@ -40,6 +49,7 @@
     keeps: Callable[[], bool]
     closed: Callable[[], bool]
     lag: Callable[[], float] = float
+    overloaded: Callable[[], bool] = bool
 
 
 class RoutedServer(RequestServer):
@@ -74,11 +84,18 @@
             return refuse_for_now()
         head = self._parts.read_head(call)
         job = accept(self._parts.catalog(), call, head)
+        if isinstance(job, Job) and self._comes_too_late(job):
+            job = refuse_for_now(SHED_RETRY_SECONDS)
         if isinstance(job, Refusal):
             self._tell_refused(head.request_id, call, job)
             return job
         return await ServingCall(self._parts.serving, job, reply).serve()
 
+    def _comes_too_late(self, job: Job) -> bool:
+        """Return whether this host is too slow to meet an objective."""
+        needed = self._parts.lag() * TURNS
+        return self._parts.overloaded() and needed > job.route.objective
+
     def _tell_refused(
         self,
         request_id: str,
@@ -91,6 +108,7 @@
             request_id=request_id,
             reason=refusal.reason.code,
             path=call.path,
+            lag_ms=round(self._parts.lag() * MS_PER_SECOND),
             catalog=catalog.version if catalog else None,
         )
 
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -116,6 +116,7 @@
                 keeps=lambda: not (self.stop.is_asked or self.pressure.is_late),
                 closed=lambda: self.stop.closed,
                 lag=lambda: self.pressure.lag,
+                overloaded=lambda: self.pressure.is_late,
             ),
         )
         self.stop = PlannedStop(cfg.stop, lambda: self.server.active, log.info)
