Look for room a bounded number of times

Each end of a request tried every waiting one again at once, and so did a timer fifty times a second: up to eight requests of each account, some 80 us each.

A look tries at most 16 requests, accounts in turn; ends of requests within 10 ms share one, and without any it comes 25 times a second.

--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -5,7 +5,8 @@
 late, since it admits requests in order of arrival. So requests wait here,
 for at most a part of their objective; the account that was given least of
 late goes first; what can't be served in that time is refused at once, with
-the time after which its turn would have come.
+the time after which its turn would have come. Looking for room takes the time
+in which others are served, so that each look tries a bounded number.
 """
 
 import asyncio
@@ -22,8 +23,10 @@
 
 HOLD_FRACTION = 0.4
 """The part of its objective that a request may wait here."""
-PUMP_SECONDS = 0.02
+PUMP_SECONDS = 0.04
 """How often waiting requests are tried without any other occasion."""
+SOON_SECONDS = 0.01
+"""Places that come free within this time are given out together."""
 RATE_WINDOW = 2.0
 """Seconds over which the rate of grants is measured."""
 MIN_QUEUE = 12
@@ -32,6 +35,9 @@
 TRIED_REQUESTS = 8
 """Waiting requests of one account that are tried; the first one's endpoint
 may be full while the next one's has room."""
+MAX_TRIES = 16
+"""Waiting requests that one look tries: a millisecond's work or two. Accounts
+that it has tried in vain come after the others in the next one."""
 OUTPUT_COST = 2.0
 """What a generated token costs against one that is read."""
 MIN_RETRY_AFTER = 0.3
@@ -95,6 +101,7 @@
         self._queues: dict[str, _Queue[GrantT]] = {}
         self._granted: deque[float] = deque()
         self._timer: asyncio.TimerHandle | None = None
+        self._tried: set[str] = set()
         self.waiting = 0
 
     async def admit(
@@ -155,26 +162,48 @@
     def pump(self) -> None:
         """Give what has room to the accounts that were given least."""
         self._give_up()
-        tried: set[str] = set()
-        while len(tried) < len(self._queues):
-            account = min(
-                (name for name in self._queues if name not in tried),
-                key=self._shares.used,
-            )
-            if not self._grant_one(account):
-                tried.add(account)
-
-    def _grant_one(self, account: str) -> bool:
-        """Grant the most urgent request of an account that has room."""
+        left = MAX_TRIES
+        full: set[str] = set()
+        while left > 0 and len(full) < len(self._queues):
+            account = self._next_account(full)
+            granted, tries = self._grant_one(account, left)
+            left -= tries
+            if not granted:
+                full.add(account)
+        self._tried |= full
+        if self._tried >= self._queues.keys():
+            self._tried.clear()
+
+    def pump_soon(self) -> None:
+        """Look for room shortly: a place has come free."""
+        if self.waiting:
+            self._wait_to_pump(SOON_SECONDS)
+
+    def _next_account(self, full: set[str]) -> str:
+        """Return whose turn it is: who was given least, but for the full.
+
+        Those that were tried in vain of late come after the others.
+        """
+        return min(
+            self._queues.keys() - full,
+            key=lambda name: (name in self._tried, self._shares.used(name)),
+        )
+
+    def _grant_one(self, account: str, most: int) -> tuple[bool, int]:
+        """Grant the most urgent request of an account that has room.
+
+        Returns whether there was one, and how many were tried.
+        """
         fill = self._shares.room(account)
-        for waiter in self._queues[account][:TRIED_REQUESTS]:
+        waiters = self._queues[account][: min(TRIED_REQUESTS, most)]
+        for tries, waiter in enumerate(waiters, start=1):
             grant = waiter.place(waiter.job, fill)
             if grant is not None:
                 self._note_grant(waiter.job)
                 self._remove(waiter)
                 waiter.fut.set_result(grant)
-                return True
-        return False
+                return True, tries
+        return False, len(waiters)
 
     def _is_hopeless(self, job: Job, hold: float) -> bool:
         """Return whether a request's turn would come too late."""
@@ -208,7 +237,7 @@
         insort(queue, waiter, key=_urgency_of)
         self.waiting += 1
         if self._timer is None:
-            self._wait_to_pump()
+            self._wait_to_pump(PUMP_SECONDS)
 
     def _remove(self, waiter: _Waiter[GrantT]) -> None:
         account = waiter.job.account
@@ -242,15 +271,20 @@
             if not waiter.fut.done():
                 waiter.fut.set_result(self.refuse())
 
-    def _wait_to_pump(self) -> None:
+    def _wait_to_pump(self, seconds: float) -> None:
+        """Look for room after some seconds, or earlier if that is due."""
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(PUMP_SECONDS, self._pump_again)
+        if self._timer is not None:
+            if self._timer.when() <= loop.time() + seconds:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_later(seconds, self._pump_again)
 
     def _pump_again(self) -> None:
         self._timer = None
         self.pump()
         if self.waiting:
-            self._wait_to_pump()
+            self._wait_to_pump(PUMP_SECONDS)
 
 
 def _urgency_of(waiter: _Waiter[GrantT]) -> tuple[int, float]:
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -176,7 +176,7 @@
             raise
         finally:
             parts.chooser.release(grant)
-            parts.rooms(job.service).pump()
+            parts.rooms(job.service).pump_soon()
         self._note(grant, exchange, attempt)
         step = self._follow(exchange, attempt)
         if not (attempt.passed_on or attempt.verdict is Verdict.RAN):
--- a/tests/test_serving_admission.py
+++ b/tests/test_serving_admission.py
@@ -15,6 +15,8 @@
 from sesamespoke.serving.admission import (
     HOLD_FRACTION,
     MAX_RETRY_AFTER,
+    MAX_TRIES,
+    SOON_SECONDS,
     SPREAD,
     TRIED_REQUESTS,
     WaitingRoom,
@@ -323,3 +325,58 @@
     else:
         assert given_out == pytest.approx(capacity)
         assert max(demands) >= level
+
+
+def test_a_full_desk_costs_a_bounded_number_of_tries_a_look() -> None:
+    """Each release tried every waiting request again, at a busy host."""
+
+    async def steps() -> None:
+        loop = asyncio.get_running_loop()
+        tried: Counter[str] = Counter()
+
+        def place(job: Job, fill: float) -> str | None:
+            tried[job.account] += 1
+            return None
+
+        room = WaitingRoom[str](
+            FairShares(loop.time), loop.time, lambda _: None
+        )
+        accounts = [f'account-{number}' for number in range(12)]
+        waiting = [
+            asyncio.create_task(
+                room.admit(job_of(name, arrived_at=loop.time()), place)
+            )
+            for name in accounts
+            for _ in range(5)
+        ]
+        await asyncio.sleep(0)
+        tried.clear()
+        room.pump()
+        assert tried.total() <= MAX_TRIES
+        for _ in range(5):
+            room.pump()
+        assert set(tried) == set(accounts)
+        tried.clear()
+        for _ in range(50):
+            room.pump_soon()
+        await asyncio.sleep(SOON_SECONDS * 1.5)
+        assert tried.total() <= MAX_TRIES
+        for task in waiting:
+            task.cancel()
+
+    run(steps())
+
+
+def test_a_place_that_comes_free_is_given_out_shortly() -> None:
+    async def steps() -> None:
+        desk = Desk()
+        desk.free = 0
+        waiting = asyncio.create_task(desk.ask('a'))
+        await asyncio.sleep(0.05)
+        desk.free = 1
+        desk.rooms[0].pump_soon()
+        await asyncio.sleep(SOON_SECONDS * 1.5)
+        assert desk.given['a'] == 1
+        await waiting
+
+    run(steps())
