--- a/src/sesamespoke/constraints.py
+++ b/src/sesamespoke/constraints.py
@@ -10,28 +10,47 @@
 from types import MappingProxyType
 from typing import Annotated, Any, Final
 
-from annotated_types import Ge, Gt, Le
-
 STRICT: Final = MappingProxyType({'extra': 'forbid', 'allow_inf_nan': False})
 """The ``__pydantic_config__`` of classes that operators write."""
 
 
 @dataclass(frozen=True, slots=True)
-class Pattern:
-    """A regular expression that a text must match."""
+class Bound:
+    """A key of pydantic's schema of a type, and its value."""
 
-    regex: str
+    key: str
+    value: float | str
 
     def __get_pydantic_core_schema__(  # noqa: PLW3201 (pydantic's name)
         self,
         source: Any,
         handler: Callable[[Any], Mapping[str, Any]],
     ) -> dict[str, Any]:
-        """Return the schema of a text with this pattern."""
-        return {**handler(source), 'pattern': self.regex}
+        """Return the schema of the type within this bound."""
+        return {**handler(source), self.key: self.value}
+
+
+def above(value: float) -> Bound:
+    """Return the bound of numbers that are greater."""
+    return Bound('gt', value)
+
+
+def at_least(value: float) -> Bound:
+    """Return the bound of numbers that are not less."""
+    return Bound('ge', value)
+
+
+def at_most(value: float) -> Bound:
+    """Return the bound of numbers that are not greater."""
+    return Bound('le', value)
+
+
+def matching(pattern: str) -> Bound:
+    """Return the bound of texts that a regular expression matches."""
+    return Bound('pattern', pattern)
 
 
-Positive = Annotated[float, Gt(0)]
-NonNegative = Annotated[float, Ge(0)]
-Ratio = Annotated[float, Ge(0), Le(1)]
-Name = Annotated[str, Pattern('^[a-z0-9][a-z0-9._-]{0,62}$')]
+Positive = Annotated[float, above(0)]
+NonNegative = Annotated[float, at_least(0)]
+Ratio = Annotated[float, at_least(0), at_most(1)]
+Name = Annotated[str, matching('^[a-z0-9][a-z0-9._-]{0,62}$')]
--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -25,8 +25,9 @@
 """The part of its objective that a request may wait here."""
 PUMP_SECONDS = 0.04
 """How often waiting requests are tried without any other occasion."""
-SOON_SECONDS = 0.01
-"""Places that come free within this time are given out together."""
+MIN_PAUSE_SECONDS = 0.02
+"""The least time between two looks: places that come free within it are
+given out together."""
 RATE_WINDOW = 2.0
 """Seconds over which the rate of grants is measured."""
 MIN_QUEUE = 12
@@ -102,6 +103,7 @@
         self._granted: deque[float] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._tried: set[str] = set()
+        self._looked_at: float = 0
         self.waiting = 0
 
     async def admit(
@@ -161,6 +163,7 @@
 
     def pump(self) -> None:
         """Give what has room to the accounts that were given least."""
+        self._looked_at = self._clock()
         self._give_up()
         left = MAX_TRIES
         full: set[str] = set()
@@ -177,7 +180,8 @@
     def pump_soon(self) -> None:
         """Look for room shortly: a place has come free."""
         if self.waiting:
-            self._wait_to_pump(SOON_SECONDS)
+            ready_at = self._looked_at + MIN_PAUSE_SECONDS
+            self._wait_to_pump(max(0, ready_at - self._clock()))
 
     def _next_account(self, full: set[str]) -> str:
         """Return whose turn it is: who was given least, but for the full.
--- a/src/sesamespoke/settings.py
+++ b/src/sesamespoke/settings.py
@@ -4,9 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Annotated
 
-from annotated_types import Ge, Le
-
-from sesamespoke.constraints import STRICT, Name, Positive
+from sesamespoke.constraints import STRICT, Name, Positive, at_least, at_most
 
 
 @dataclass(frozen=True)
@@ -16,7 +14,7 @@
     __pydantic_config__ = STRICT
 
     ip: str
-    port: Annotated[int, Ge(0), Le(65_535)]
+    port: Annotated[int, at_least(0), at_most(65_535)]
 
     def __str__(self) -> str:
         """Return the usual ``ip:port`` form."""
@@ -96,11 +94,11 @@
     __pydantic_config__ = STRICT
 
     period: Positive = 14_400
-    partitions: Annotated[int, Ge(1), Le(64)] = 2
+    partitions: Annotated[int, at_least(1), at_most(64)] = 2
     batch_interval: Positive = 0.025
     max_wait: Positive = 5
-    kept_body_bytes: Annotated[int, Ge(0), Le(8192)] = 4096
-    known_claims: Annotated[int, Ge(1)] = 50_000
+    kept_body_bytes: Annotated[int, at_least(0), at_most(8192)] = 4096
+    known_claims: Annotated[int, at_least(1)] = 50_000
 
 
 @dataclass(frozen=True)
--- a/src/sesamespoke/world.py
+++ b/src/sesamespoke/world.py
@@ -9,15 +9,15 @@
 from enum import Enum
 from typing import Annotated
 
-from annotated_types import Ge, Le
-
 from sesamespoke.constraints import (
     STRICT,
     Name,
     NonNegative,
-    Pattern,
     Positive,
     Ratio,
+    at_least,
+    at_most,
+    matching,
 )
 
 
@@ -77,7 +77,7 @@
 
     share: Positive
     api_key_sha256: tuple[str, ...]
-    max_waiting: Annotated[int, Ge(1), Le(100_000)] = 1000
+    max_waiting: Annotated[int, at_least(1), at_most(100_000)] = 1000
 
 
 @dataclass(frozen=True)
@@ -132,11 +132,11 @@
 
     __pydantic_config__ = STRICT
 
-    cold: Annotated[int, Ge(1)]
-    warm: Annotated[int, Ge(1)]
+    cold: Annotated[int, at_least(1)]
+    warm: Annotated[int, at_least(1)]
     unit: LimitUnit = LimitUnit.REQUESTS
     first_token_seconds: Positive = 0.47
-    warm_after: Annotated[int, Ge(1)] = 8
+    warm_after: Annotated[int, at_least(1)] = 8
 
 
 @dataclass(frozen=True)
@@ -145,7 +145,7 @@
 
     __pydantic_config__ = STRICT
 
-    url: Annotated[str, Pattern(r'^https?://[^/]+$')]
+    url: Annotated[str, matching(r'^https?://[^/]+$')]
     data_centre: Name
     state: EndpointState = EndpointState.ACTIVE
 
@@ -164,10 +164,10 @@
     pool: Name
     limit: Limit
     endpoints: Mapping[Name, Endpoint]
-    path: Annotated[str, Pattern('^/')] = '/v1/chat/completions'
+    path: Annotated[str, matching('^/')] = '/v1/chat/completions'
     contract: Contract = Contract()
     deadline_seconds: Positive = 60
-    max_body_bytes: Annotated[int, Ge(1)] = 1_048_576
+    max_body_bytes: Annotated[int, at_least(1)] = 1_048_576
 
 
 @dataclass(frozen=True)
--- a/tests/test_serving_admission.py
+++ b/tests/test_serving_admission.py
@@ -16,7 +16,7 @@
     HOLD_FRACTION,
     MAX_RETRY_AFTER,
     MAX_TRIES,
-    SOON_SECONDS,
+    MIN_PAUSE_SECONDS,
     SPREAD,
     TRIED_REQUESTS,
     WaitingRoom,
@@ -359,7 +359,7 @@
         tried.clear()
         for _ in range(50):
             room.pump_soon()
-        await asyncio.sleep(SOON_SECONDS * 1.5)
+        await asyncio.sleep(MIN_PAUSE_SECONDS * 1.5)
         assert tried.total() <= MAX_TRIES
         for task in waiting:
             task.cancel()
@@ -375,7 +375,7 @@
         await asyncio.sleep(0.05)
         desk.free = 1
         desk.rooms[0].pump_soon()
-        await asyncio.sleep(SOON_SECONDS * 1.5)
+        await asyncio.sleep(MIN_PAUSE_SECONDS * 1.5)
         assert desk.given['a'] == 1
         await waiting
 
