Cut no request in a planned stop: half-read, unsent, or just connected

What callers saw: during a planned stop some got no answer, or a part of one. One whose body was still coming, and one whose answer lay unsent because its caller reads slowly, were cut by the stop. - Connections that the kernel had completed, but the loop had not taken, were reset when the port closed.

Also tested, and found sound: a second copy of an answer, early or late, on a connection in use again; an engine that left and a key that was withdrawn while a router restarts, with and without a store that answers.

--- a/src/sesamespoke/caller_connections.py
+++ b/src/sesamespoke/caller_connections.py
@@ -121,7 +121,7 @@
         if not self._keeps:
             headers['Connection'] = 'close'
         line = ResponseStartLine('HTTP/1.1', status, responses.get(status, ''))
-        self._conn.write_headers(line, headers, body)
+        self._unsent = self._conn.write_headers(line, headers, body)
         self._chunked = 'Transfer-Encoding' in headers
 
 
@@ -156,14 +156,18 @@
         self,
         conn: HTTP1Connection,
         begin: Begin,
+        arriving: set['Inbound'],
         max_body_bytes: int,
         waited: float = 0,
     ) -> None:
         """Prepare to read from a connection.
 
-        ``waited`` is for how long the request may have lain unread.
+        The reader is one of those ``arriving`` from the head of its request
+        to the end of the body. ``waited`` is for how long the request may
+        have lain unread.
         """
         self._waited = waited
+        self._arriving = arriving
         self._begin = begin
         self._max_body_bytes = max_body_bytes
         self._conn = conn
@@ -179,6 +183,7 @@
     ) -> None:
         """Keep the head; refuse a body that is declared too large."""
         assert isinstance(start_line, RequestStartLine)
+        self._arriving.add(self)
         self._line = start_line
         self._headers = headers
         self._conn.set_max_body_size(MAX_BODY_BYTES)
@@ -194,6 +199,7 @@
 
     def finish(self) -> None:
         """Serve the request, now that it is whole."""
+        self._arriving.discard(self)
         call = Call(
             uuid.uuid4().hex,
             self._line.method,
@@ -206,6 +212,7 @@
 
     def on_connection_close(self) -> None:
         """Forget a request that was not sent whole."""
+        self._arriving.discard(self)
         self._parts.clear()
 
     def _check_size(self, size: int) -> None:
--- a/src/sesamespoke/request_server.py
+++ b/src/sesamespoke/request_server.py
@@ -1,7 +1,9 @@
 """An HTTP server that runs one task for each request of a caller."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+import contextlib
+import socket
+from collections.abc import Callable, Coroutine, Set
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -71,6 +73,22 @@
             return
         super().handle_stream(stream, address)
 
+    def stop(self) -> None:
+        """Close the ports, once the connections that wait there are taken.
+
+        The kernel has told their callers that they are connected, and would
+        reset them.
+        """
+        if not self._stopped:
+            for sock in self._sockets.values():
+                self._take_waiting(sock)
+        super().stop()
+
+    def _take_waiting(self, sock: socket.socket) -> None:
+        with contextlib.suppress(BlockingIOError, ConnectionError):
+            for _ in range(LISTEN_BACKLOG):
+                self._handle_connection(*sock.accept())
+
     @property
     def is_crowded(self) -> bool:
         """Return whether idle connections should make room."""
@@ -86,6 +104,7 @@
         self._server_cfg = cfg
         self._metrics = metrics
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._arriving: set[Inbound] = set()
         self._server = BoundedServer(
             self,
             idle_connection_timeout=IDLE_SECONDS,
@@ -99,8 +118,16 @@
 
     @property
     def active(self) -> int:
-        """Return the number of requests that are being served."""
-        return len(self._tasks)
+        """Return the number of requests in work."""
+        return len(self._tasks) + len(self._arriving)
+
+    @property
+    def requests(self) -> Set[object]:
+        """Return the requests in work.
+
+        They are so from the end of their head until the answer has left.
+        """
+        return self._tasks | self._arriving
 
     def listen(self) -> None:
         """Open the callers' port; port 0 asks for any free one."""
@@ -130,6 +157,7 @@
         return Inbound(
             request_conn,
             self.begin,
+            self._arriving,
             self.max_body_bytes(),
             self.waited(),
         )
@@ -186,6 +214,7 @@
         )
         try:
             await self._answer(call, reply)
+            await reply.drain()
         except StreamClosedError:
             self._metrics.count('callers_gone')
         except Exception:
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -119,7 +119,9 @@
                 overloaded=lambda: self.pressure.is_late,
             ),
         )
-        self.stop = PlannedStop(cfg.stop, lambda: self.server.active, log.info)
+        self.stop = PlannedStop(
+            cfg.stop, lambda: self.server.requests, log.info
+        )
         self.pressure = LoopPressure(log.info, lambda: self.server.active)
         self.pages = (
             PageServer(cfg.ready, self._tell_ready),
@@ -152,7 +154,7 @@
             asyncio.create_task(self.pressure.run()),
         ]
         log.info('started', host=self.cfg.host, zone=self.cfg.data_centre)
-        await self.stop.run(self._close)
+        await self.stop.run(self.server.stop_accepting, self._close)
 
     async def _close(self) -> None:
         for task in self._tasks:
--- a/tests/support_routed.py
+++ b/tests/support_routed.py
@@ -43,6 +43,7 @@
     max_callers=40,
 )
 PATIENCE_SECONDS = 10
+BODY = b'body'
 
 
 @dataclass
@@ -109,16 +110,20 @@
         *rows: str,
         method: str = 'POST',
         request_id: str = 'r1',
+        whole: bool = True,
     ) -> None:
+        """Send a request, or its head alone."""
         lines = [
             f'{method} {path} HTTP/1.1',
             'Host: a.example',
             f'Request-Attempt-Id: {request_id}',
             'Authorization: Bearer key-1',
-            'Content-Length: 4',
+            f'Content-Length: {len(BODY)}',
             *rows,
         ]
-        self.writer.write('\r\n'.join(lines).encode() + b'\r\n\r\nbody')
+        self.writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+        if whole:
+            self.writer.write(BODY)
 
     async def receive(self, method: str = 'POST') -> Answered:
         buf = b''
--- /dev/null
+++ b/tests/test_operators_failures.py
@@ -0,0 +1,192 @@
+"""What went wrong for operators of similar systems, played against a router.
+
+Each test causes one of their failures over loopback sockets.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from support_platform import (
+    CHUNKED,
+    CONFIG,
+    LAST_CHUNK,
+    Asked,
+    Writer,
+    answer_well,
+    chunk,
+    event,
+    head_bytes,
+    stream_well,
+    whole_answer,
+)
+from support_routed import BODY, CFG, Fleet, play, until
+
+SECOND_COPY_SECONDS = 0.05
+NO_KEY_1 = [{'name': 'acme', 'api_keys': ['key-2'], 'priority': 1}]
+
+
+async def keep_asking(
+    fleet: Fleet, name: str, is_over: Callable[[], bool]
+) -> list[int]:
+    """Ask on new connections, and return the status of each answer."""
+    statuses: list[int] = []
+    while not is_over():
+        try:
+            caller = await fleet.connect()
+        except ConnectionRefusedError:
+            break
+        answered = await caller.ask(
+            '/l/1', request_id=f'{name}-{len(statuses)}'
+        )
+        statuses.append(answered.status)
+        caller.writer.close()
+    return statuses
+
+
+@pytest.mark.parametrize('delay', [0, SECOND_COPY_SECONDS])
+def test_a_second_copy_of_an_answer_never_reaches_the_next_caller(
+    delay: float,
+) -> None:
+    copies: list[asyncio.Task[None]] = []
+
+    async def answer_twice(asked: Asked, writer: Writer) -> None:
+        async def send_copy() -> None:
+            await asyncio.sleep(delay)
+            writer.write(whole_answer(asked, asked.request_id.encode()))
+
+        if len(copies) % 2:
+            await asyncio.sleep(2 * SECOND_COPY_SECONDS)
+        writer.write(whole_answer(asked, asked.request_id.encode()))
+        copies.append(asyncio.create_task(send_copy()))
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_twice)
+        for number in range(8):
+            caller = await fleet.connect()
+            answered = await caller.ask('/l/1', request_id=f'r{number}')
+            assert answered.body == f'r{number}'.encode()
+            assert answered.whole
+
+    play(steps)
+
+
+def test_a_stop_under_load_answers_all_whose_connection_was_taken() -> None:
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        callers = [
+            asyncio.create_task(
+                keep_asking(fleet, f'c{number}', fleet.running.done)
+            )
+            for number in range(12)
+        ]
+        await asyncio.sleep(0.2)
+        fleet.router.stop.ask()
+        await fleet.running
+        for statuses in await asyncio.gather(*callers):
+            assert set(statuses) <= {200, 503}
+            assert 200 in statuses
+
+    play(steps, replace(CFG, max_callers=400))
+
+
+def test_a_stop_answers_a_request_of_which_a_part_has_come() -> None:
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        caller = await fleet.connect()
+        fleet.router.stop.ask()
+        await asyncio.sleep(CFG.stop.notice / 2)
+        caller.send('/l/1', whole=False)
+        await asyncio.sleep(CFG.stop.notice)
+        caller.writer.write(BODY)
+        answered = await caller.receive()
+        assert answered.status == 503
+
+    play(steps)
+
+
+def test_a_stop_lets_a_slow_caller_read_its_whole_answer() -> None:
+    size = 6_000_000
+
+    async def answer_much(asked: Asked, writer: Writer) -> None:
+        writer.write(whole_answer(asked, bytes(size)))
+
+    async def steps(fleet: Fleet) -> None:
+        engine = await fleet.add_engine('i-1', 'desk', answer_much)
+        caller = await fleet.connect()
+        caller.send('/l/1')
+        await until(lambda: bool(engine.asked))
+        await asyncio.sleep(0.3)
+        fleet.router.stop.ask()
+        await asyncio.sleep(2 * CFG.stop.notice)
+        answered = await caller.receive()
+        assert len(answered.body) == size
+
+    play(steps)
+
+
+def test_a_slow_stream_is_not_cut() -> None:
+    """Its pauses are longer than allowed, but no caller leaves for them."""
+
+    async def slowly(asked: Asked, writer: Writer) -> None:
+        writer.write(head_bytes(asked, 200, CHUNKED))
+        for number in range(1, 4):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.8)
+        writer.write(LAST_CHUNK)
+
+    async def steps(fleet: Fleet) -> None:
+        engine = await fleet.add_engine('i-1', 'llm', slowly)
+        answered = await (await fleet.connect()).ask('/s/1')
+        assert answered.whole
+        assert answered.body == event(1) + event(2) + event(3)
+        assert len(engine.asked) == 1
+
+    play(steps)
+
+
+@pytest.mark.parametrize('lists_answer', [True, False])
+def test_what_was_withdrawn_before_a_restart_stays_so(
+    *, lists_answer: bool
+) -> None:
+    """Also when the store answers nothing once the process is back."""
+
+    async def steps(fleet: Fleet) -> None:
+        gone = await fleet.add_engine('i-1', 'llm', stream_well)
+        stays = await fleet.add_engine('i-2', 'llm', stream_well)
+        fleet.store.remove('servers/i-1')
+        fleet.store.put(
+            'op/config', {**CONFIG, 'version': 8, 'tenants': NO_KEY_1}
+        )
+        del fleet.engines['i-1']
+        fleet.store.silent = not lists_answer
+        before = fleet.router
+        restarting = asyncio.create_task(fleet.restart())
+        if not lists_answer:
+            await until(lambda: fleet.router is not before)
+            await until(lambda: bool(fleet.router.server.port))
+            assert not fleet.router.is_ready
+            caller = await fleet.connect()
+            assert (await caller.ask('/s/1')).status == 503
+            fleet.store.silent = False
+        await restarting
+        for number in range(6):
+            caller = await fleet.connect()
+            answered = await caller.ask('/s/1', request_id=f'r{number}')
+            assert answered.status == 401
+        assert not stays.asked
+        fleet.store.put('op/config', {**CONFIG, 'version': 9})
+        orders = fleet.router.follower.orders
+        await until(
+            lambda: orders.catalog is not None and orders.catalog.version == 9
+        )
+        for number in range(6):
+            caller = await fleet.connect()
+            answered = await caller.ask('/s/1', request_id=f's{number}')
+            assert answered.status == 200
+        assert len(stays.asked) == 6
+        assert not gone.asked
+
+    play(steps)
