Let another engine go on where a stream stalls, however it stalls

What callers saw: a stream that stalled ended at its deadline, cut, though another engine could have gone on. The same connection serves the chat-completions way, where a stream that drips bytes never ended, as it has no other deadline.

--- a/src/sesamespoke/endpoint_connections.py
+++ b/src/sesamespoke/endpoint_connections.py
@@ -60,7 +60,7 @@
         self._buf = b''
         self._waiter: asyncio.Future[bool] | None = None
         self._sink: Sink | None = None
-        self._heard_at: float = 0
+        self._progress_at: float = 0
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -81,7 +81,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the sink, or keep them until they are read."""
-        self._heard_at = self._loop.time()
         if self._sink is None:
             self._buf = self._buf + data if self._buf else data
             if len(self._buf) >= MAX_BUFFER_BYTES and self._transport:
@@ -113,11 +112,7 @@
         while not self._buf and self._transport is not None:
             self._waiter = self._loop.create_future()
             await self._waiter
-        content = self._buf
-        self._buf = b''
-        if self._transport is not None:
-            self._transport.resume_reading()
-        return content
+        return self._take_buffered()
 
     def unread(self, content: bytes) -> None:
         """Put bytes back that belong to what is read next."""
@@ -128,14 +123,16 @@
 
         The sink is called from the event loop's reader, with no task in
         between. Returns whether the sink ended it; else the connection
-        closed. Raises ``TimeoutError`` after a silence, in seconds, and
-        what the sink raises.
+        closed. Raises ``TimeoutError`` after as many seconds without
+        progress, which the sink tells by ``mark_progress``, and what the
+        sink raises.
         """
-        content = await self.read()
-        if not content:
-            return False
-        if not sink(content):
+        content = self._take_buffered()
+        if content and not sink(content):
             return True
+        if self._transport is None:
+            return False
+        self.mark_progress()
         with contextlib.ExitStack() as stack:
             stack.callback(self._end_pump)
             waiter: asyncio.Future[bool] = self._loop.create_future()
@@ -144,6 +141,10 @@
             self._watch_silence(waiter, silence)
             return await waiter
 
+    def mark_progress(self) -> None:
+        """Note that what came was more than a part of something."""
+        self._progress_at = self._loop.time()
+
     async def read_head(self) -> Head | None:
         """Return the answer's head, or None if the connection closed."""
         buf = b''
@@ -179,6 +180,13 @@
             self._transport.abort()
             self._transport = None
 
+    def _take_buffered(self) -> bytes:
+        content = self._buf
+        self._buf = b''
+        if self._transport is not None:
+            self._transport.resume_reading()
+        return content
+
     def _fail(self, exc: Exception) -> None:
         self._sink = None
         if self._waiter is not None and not self._waiter.done():
@@ -199,7 +207,7 @@
         silence: float,
     ) -> None:
         """End the pump after a silence; looks again only when one is due."""
-        left = self._heard_at + silence - self._loop.time()
+        left = self._progress_at + silence - self._loop.time()
         if left > 0:
             self._timer = self._loop.call_later(
                 left,
--- a/src/sesamespoke/events.py
+++ b/src/sesamespoke/events.py
@@ -11,6 +11,7 @@
 BYTES_PER_TOKEN = 4
 ID_LINE = re.compile(rb'^id: ?(.+?)\r?$', re.MULTILINE)
 USAGE_FIELD = b'"usage"'
+DATA_FIELD = b'data:'
 
 
 class EventRelay:
--- a/src/sesamespoke/relaying.py
+++ b/src/sesamespoke/relaying.py
@@ -6,7 +6,7 @@
 from sesamespoke.answers import EVENTS_TYPE, Answer, end_to_end, without
 from sesamespoke.attempts import Attempt, Failure, Reply, concluded
 from sesamespoke.endpoint_connections import Connection, Sink
-from sesamespoke.events import EventRelay, read_usage
+from sesamespoke.events import DATA_FIELD, EventRelay, read_usage
 from sesamespoke.framing import BodyReader, Head
 from sesamespoke.limits import Outcome
 from sesamespoke.verdicts import BAD_ANSWER, ENDPOINT_FAILED, Verdict
@@ -43,6 +43,11 @@
             raise Failure(ENDPOINT_FAILED, 'the answer is cut', broke=True)
         return self.body.feed(content)
 
+    def mark_event(self, events: bytes) -> None:
+        """Take whole events for progress, but for mere comments."""
+        if DATA_FIELD in events:
+            self._conn.mark_progress()
+
     async def pump(self, sink: Sink) -> None:
         """Pass what comes to a sink until it asks for a pause."""
         silence = self.work.service.deadline_seconds
@@ -129,6 +134,7 @@
         events = feed_relay(feed_body(content))
         if not events:
             return not (relay.overflowing or source.body.finished)
+        source.mark_event(events)
         if not prepared:
             _prepare_stream(source, reply, relay, events)
             prepared = True
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -25,7 +25,7 @@
     ConnectionPool,
     Sink,
 )
-from sesamespoke.events import EventRelay
+from sesamespoke.events import DATA_FIELD, EventRelay
 from sesamespoke.framing import BodyReader, FramingError, Head
 from sesamespoke.limits import Outcome
 from sesamespoke.serving.catalog import CallKind
@@ -255,7 +255,7 @@
         """Send whole events on until the body ends."""
         if self._line.names.seal not in head.headers:
             raise Failure(BAD_ANSWER, 'the stream is not signed')
-        take = self._make_sink(head, body)
+        take = self._make_sink(conn, head, body)
         while not body.finished:
             silence = self.silence
             if self.first_byte_at is None:
@@ -273,7 +273,12 @@
             self._start_reply(head)
         return Attempt(Verdict.RAN, Outcome.DONE, passed_on=True)
 
-    def _make_sink(self, head: Head, body: BodyReader) -> Sink:
+    def _make_sink(
+        self,
+        conn: Connection,
+        head: Head,
+        body: BodyReader,
+    ) -> Sink:
         """Return what passes the bytes of a body on as events."""
         feed_body = body.feed
         feed_relay = self._relay.feed
@@ -284,17 +289,25 @@
             if not events:
                 return not (self._relay.overflowing or body.finished)
             is_first = self.first_byte_at is None
+            if DATA_FIELD in events:
+                conn.mark_progress()
+            elif is_first:
+                # Comments don't begin a reply, which could not be resumed.
+                return not body.finished
             if is_first:
-                self._note_first_byte()
-                if not self._relay.follows(events):
-                    raise Failure(BAD_ANSWER, 'the stream was not continued')
-            if not reply.started:
-                self._start_reply(head)
+                self._begin_events(head, events)
             # The patience for the first event ends with its pump.
             return reply.send(events) and not (is_first or body.finished)
 
         return take
 
+    def _begin_events(self, head: Head, events: bytes) -> None:
+        self._note_first_byte()
+        if not self._relay.follows(events):
+            raise Failure(BAD_ANSWER, 'the stream was not continued')
+        if not self._reply.started:
+            self._start_reply(head)
+
     def _start_reply(self, head: Head) -> None:
         rows = without(end_to_end(head.headers), 'content-length')
         self._reply.start(head.status, rows)
--- a/tests/test_operators_failures.py
+++ b/tests/test_operators_failures.py
@@ -4,7 +4,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 import pytest
@@ -147,6 +148,75 @@
     play(steps)
 
 
+async def drip(writer: Writer) -> None:
+    """Send a byte of an event now and then."""
+    while not writer.is_closing():
+        writer.write(chunk(b'i'))
+        await writer.drain()
+        await asyncio.sleep(0.2)
+
+
+async def comment(writer: Writer) -> None:
+    """Send comments, which callers don't see, now and then."""
+    while not writer.is_closing():
+        writer.write(chunk(b': still here\n\n'))
+        await writer.drain()
+        await asyncio.sleep(0.2)
+
+
+async def be_silent(writer: Writer) -> None:
+    await asyncio.sleep(8)
+
+
+@pytest.mark.parametrize('stall', [drip, comment, be_silent])
+@pytest.mark.parametrize('sent', [0, 1, 2])
+def test_a_stream_that_stalls_goes_on_at_another_engine(
+    stall: Callable[[Writer], Awaitable[None]], sent: int
+) -> None:
+    stalled: list[str] = []
+
+    async def stall_once(asked: Asked, writer: Writer) -> None:
+        if stalled:
+            await stream_well(asked, writer)
+            return
+        stalled.append(asked.request_id)
+        writer.write(head_bytes(asked, 200, CHUNKED))
+        for number in range(1, sent + 1):
+            await asyncio.sleep(0.01)
+            writer.write(chunk(event(number)))
+        with contextlib.suppress(ConnectionError):
+            await stall(writer)
+
+    async def steps(fleet: Fleet) -> None:
+        for name in ('i-1', 'i-2'):
+            await fleet.add_engine(name, 'llm', stall_once)
+        answered = await (await fleet.connect()).ask('/s/1')
+        assert answered.whole
+        told = answered.body.replace(b': still here\n\n', b'')
+        assert told == event(1) + event(2) + event(3)
+
+    play(steps)
+
+
+def test_a_stream_that_drips_for_ever_ends_at_its_deadline() -> None:
+    async def drip_always(asked: Asked, writer: Writer) -> None:
+        writer.write(head_bytes(asked, 200, CHUNKED))
+        with contextlib.suppress(ConnectionError):
+            await drip(writer)
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'llm', drip_always)
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        caller = await fleet.connect()
+        answered = await caller.ask('/s/1', 'Deadline-Ms: 1000')
+        assert loop.time() - began_at < 2
+        assert answered.status >= 500
+        await until(lambda: not fleet.router.server.active)
+
+    play(steps)
+
+
 @pytest.mark.parametrize('lists_answer', [True, False])
 def test_what_was_withdrawn_before_a_restart_stays_so(
     *, lists_answer: bool
