--- a/tests/soak/conduct.py
+++ b/tests/soak/conduct.py
@@ -18,7 +18,7 @@
 from soak.callers import Balancer, Caller, Try
 from soak.checks import judge, lost, outcomes, repeats_at_most
 from soak.engine import post
-from soak.faults import KINDS, PLANNED, Fault, draw
+from soak.faults import ALL_KINDS, DECEIT, KINDS, PLANNED, Fault, draw
 from soak.links import NO_ANSWERS, NO_REQUESTS, OPEN, RESET, SILENT, Link
 from soak.site import (
     BEAT_SECONDS,
@@ -119,7 +119,7 @@
         for caller in callers:
             self.tasks.append(asyncio.ensure_future(caller.run()))
         self.tasks.insert(0, asyncio.ensure_future(self.watch_ends()))
-        kinds = {kind: KINDS[kind] for kind in plan.only or KINDS}
+        kinds = {kind: ALL_KINDS[kind] for kind in plan.only or KINDS}
         await self.disturb(
             draw(self.site, plan.seconds, plan.pace, kinds, self.rng)
         )
@@ -261,7 +261,7 @@
             await self.freeze(fault)
         elif kind == 'reload router':
             self.children.signal(fault.targets[0], signal.SIGHUP)
-        elif kind in {'engines', 'all engines'}:
+        elif kind in {'engines', 'all engines', DECEIT}:
             await self.spoil_engines(fault)
         elif kind == 'store':
             await self.spoil_store(fault)
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -16,6 +16,7 @@
 QUEUE = 24
 POISON = 'poison'
 IDLE_SECONDS = 8.0
+STALLS = frozenset(('drip', 'stall'))
 
 
 class Gone(Exception):
@@ -191,8 +192,11 @@
             raise Gone
         events = int(headers.get('soak-events', 0))
         if not events:
-            writer.write(sealed(request_id, 200, f'{request_id} ok'.encode()))
+            answer = sealed(request_id, 200, f'{request_id} ok'.encode())
+            writer.write(answer)
             self.tell('end', request_id)
+            if hit and self.mode == 'twice':
+                self.send_later(writer, answer)
             return
         after = int(headers.get('last-event-id') or 0)
         writer.write(sealed(request_id, 200, None))
@@ -206,10 +210,30 @@
             await writer.drain()
             if hit and self.mode == 'cut':
                 raise Gone
+            if hit and self.mode in STALLS:
+                await self.stall(writer)
             await asyncio.sleep(pause / 2)
         writer.write(b'0\r\n\r\n')
         self.tell('end', request_id)
 
+    def send_later(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
+        """Send a second copy of an answer, at once or when it is late."""
+
+        def send() -> None:
+            if not writer.transport.is_closing():
+                writer.write(answer)
+
+        pause = self.rng.choice((0, 0.01, 0.1))
+        asyncio.get_running_loop().call_later(pause, send)
+
+    async def stall(self, writer: asyncio.StreamWriter) -> None:
+        """Send no more whole event, until the router leaves."""
+        while not writer.transport.is_closing():
+            if self.mode == 'drip':
+                writer.write(chunk(b'd'))
+            await asyncio.sleep(0.3)
+        raise Gone
+
 
 def parse_head(head: bytes) -> tuple[str, dict[str, str]]:
     line, *rows = head.decode('latin-1').strip().split('\r\n')
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -63,6 +63,11 @@
     'poison': 1.0,
 }
 """Kinds of faults, and how often each comes against the others."""
+DECEIT = 'lying engines'
+ALL_KINDS = {**KINDS, DECEIT: 4.0}
+"""With those that a soak has only when it names them, so that the days of
+earlier seeds stay as they were."""
+DECEITS = ('twice', 'drip', 'stall')
 PLANNED = frozenset(('stop router', 'reload router'))
 """Planned work, in which no request may be lost."""
 
@@ -93,7 +98,12 @@
         targets = tuple(
             router.name for router in site.routers if router.zone == zone
         )
-    if kind in {'engines', 'all engines'}:
+    if kind == DECEIT:
+        targets = tuple(rng.sample(engines, len(engines) // 2))
+        mode = rng.choice(DECEITS)
+        part = rng.uniform(0.3, 1)
+        seconds = rng.uniform(4, 10)
+    elif kind in {'engines', 'all engines'}:
         mode = rng.choice(
             ('reset', 'shed', 'errors', 'hang', 'lose', 'slow', 'cut')
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,8 +9,8 @@
 from soak.callers import Try
 from soak.checks import judge, lost
 from soak.conduct import SoakPlan, soak
+from soak.faults import DECEIT, PLANNED, draw
 from soak.faults import KINDS as FAULTS
-from soak.faults import PLANNED, draw
 from soak.regressions import STORM
 from soak.site import COLD_BOUND, KINDS, lay_out
 
@@ -23,8 +23,9 @@
     [
         SoakPlan(2, 25, 9, 4, 40, 1.5, STORM),
         SoakPlan(6, 20, 3, 3, 30, 3, tuple(sorted(PLANNED))),
+        SoakPlan(1, 20, 3, 4, 30, 1, (DECEIT,)),
     ],
-    ids=['storm', 'planned'],
+    ids=['storm', 'planned', 'lying engines'],
 )
 def test_a_short_soak_keeps_every_promise(plan: SoakPlan) -> None:
     found = asyncio.run(soak(plan))
