--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Callers that go away or read slowly, and stops in the middle."""
 
 import asyncio
+import contextlib
 import signal
 
 import pytest
@@ -62,6 +63,27 @@
     run(scenario())
 
 
+def test_stream_that_drips_bytes_is_ended_as_a_silent_one() -> None:
+    async def drip(got: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(stream_head(got))
+        writer.write(chunk(token_event(0, 'on')))
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(chunk(b'd'))
+                await writer.drain()
+                await asyncio.sleep(0.1)
+
+    async def scenario() -> None:
+        async with open_path(drip, deadline=0.5) as path:
+            async with asyncio.timeout(3):
+                answer = await ask(path, chat_bytes(stream=True))
+            assert b'on' in answer
+            assert b'error' in answer
+            await until_idle(path)
+
+    run(scenario())
+
+
 async def until_idle(path: Path) -> None:
     while path.server.active:
         await asyncio.sleep(0.01)
