Refuse what can't be used where it is read, not at every request

Cause: decoded JSON and digits were used as they came, each place with a guard of its own. checked_fields.py is the one place now: what can't be used refuses the entry, which is logged, and the version before stays in force.

--- a/src/sesamespoke/caller_connections.py
+++ b/src/sesamespoke/caller_connections.py
@@ -22,6 +22,7 @@
     refusal_answer,
     without,
 )
+from sesamespoke.checked_fields import is_count
 from sesamespoke.intake import Call, refuse
 from sesamespoke.verdicts import BODY_TOO_LARGE, Verdict
 
@@ -188,7 +189,7 @@
         self._headers = headers
         self._conn.set_max_body_size(MAX_BODY_BYTES)
         declared = headers.get('Content-Length', '0')
-        if declared.isdigit():
+        if is_count(declared):
             self._check_size(int(declared))
 
     def data_received(self, chunk: bytes) -> None:
--- /dev/null
+++ b/src/sesamespoke/checked_fields.py
@@ -0,0 +1,66 @@
+"""Fields of JSON and headers that others wrote, checked before they are used.
+
+What can't be used raises one of ``MALFORMED``, so that its reader can refuse
+the whole entry instead of failing later, at every request.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import Any, Final
+
+MALFORMED: Final = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What decoding an entry of another writer may raise."""
+MAX_DIGITS: Final = 15
+"""Numbers with more digits are not exact as floats."""
+
+Fields = Mapping[str, Any]
+
+
+def is_count(text: str) -> bool:
+    """Return whether a text is a whole number of a usable size."""
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
+def is_finite(number: object) -> bool:
+    """Return whether a decoded value is a number that can be used."""
+    if isinstance(number, bool) or not isinstance(number, int | float):
+        return False
+    return math.isfinite(number)
+
+
+def read_text(fields: Fields, key: str) -> str:
+    """Return a text that must be there."""
+    text = fields[key]
+    if not isinstance(text, str) or not text:
+        raise TypeError(f'{key} is no text')
+    return text
+
+
+def read_flag(fields: Fields, key: str) -> bool:
+    """Return a flag; false if it is left out."""
+    flag = fields.get(key)
+    if flag is not None and not isinstance(flag, bool):
+        raise TypeError(f'{key} is neither true nor false')
+    return bool(flag)
+
+
+def read_number(fields: Fields, key: str, default: float = 0) -> float:
+    """Return a number that is not negative; 0 or none means the default."""
+    number = fields.get(key)
+    if number is None:
+        return default
+    if not is_finite(number) or number < 0:
+        raise ValueError(f'{key} is no number that can be used')
+    return float(number) or default
+
+
+def read_count(fields: Fields, key: str, default: int = 0) -> int:
+    """Return a whole number that is not negative, as ``read_number`` does."""
+    return int(read_number(fields, key, default))
--- a/src/sesamespoke/events.py
+++ b/src/sesamespoke/events.py
@@ -3,6 +3,7 @@
 import json
 import re
 
+from sesamespoke.checked_fields import is_count
 from sesamespoke.work import Usage
 
 EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
@@ -117,6 +118,7 @@
 
 def _is_next(last_id: bytes, event_id: bytes) -> bool:
     """Return whether an id can follow another; those we know are numbers."""
-    if last_id.isdigit() and event_id.isdigit():
+    ids = (last_id.decode('latin-1'), event_id.decode('latin-1'))
+    if all(map(is_count, ids)):
         return int(event_id) == int(last_id) + 1
     return event_id != last_id
--- a/src/sesamespoke/framing.py
+++ b/src/sesamespoke/framing.py
@@ -14,6 +14,8 @@
     parse_response_start_line,
 )
 
+from sesamespoke.checked_fields import is_count
+
 MAX_HEAD_BYTES = 65_536
 MAX_SIZE_LINE_BYTES = 64
 HEX = 16
@@ -69,7 +71,7 @@
     except HTTPInputError as exc:
         raise FramingError('the head cannot be read') from exc
     length = headers.get('Content-Length')
-    if length is not None and not (length.isascii() and length.isdigit()):
+    if length is not None and not is_count(length):
         raise FramingError('the length of the body cannot be read')
     return Head(status, headers)
 
--- a/src/sesamespoke/platform/feeds.py
+++ b/src/sesamespoke/platform/feeds.py
@@ -4,8 +4,11 @@
 import json
 from collections.abc import AsyncGenerator
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any
 
+import structlog
+
+from sesamespoke.checked_fields import MALFORMED, is_finite
 from sesamespoke.platform.kv_store import KvStore, Wait
 from sesamespoke.platform.orders import read_catalog
 from sesamespoke.serving.directory import ListedEndpoint, Listing
@@ -17,11 +20,13 @@
 EVACUATE = 'op/evacuate/'
 SERVERS = 'servers/'
 MS_PER_SECOND = 1000
-MALFORMED: Final = (ValueError, TypeError, KeyError, AttributeError)
 
 LEAVING = MappingProxyType({'ready': False, 'draining': True})
 
 
+log = structlog.get_logger()
+
+
 class PlatformFeeds:
     """Reads what operators and engines write into the store."""
 
@@ -44,10 +49,13 @@
         for entry in entries:
             known = before.get(entry.key)
             if known is None or known[0] != entry.revision:
-                known = (entry.revision, read_endpoint(entry, now))
+                found = read_endpoint(entry, now)
+                if found is None and (known is None or known[1] is not None):
+                    log.info('entry_ignored', key=entry.key, why='no endpoint')
+                known = (entry.revision, found)
             self._decoded[entry.key] = known
-        found = (endpoint for _, endpoint in self._decoded.values())
-        return Listing(revision, tuple(filter(None, found)))
+        listed_now = (endpoint for _, endpoint in self._decoded.values())
+        return Listing(revision, tuple(filter(None, listed_now)))
 
     async def list_hosts(
         self,
@@ -89,7 +97,7 @@
     state = fields['state']
     well_formed = (
         all(isinstance(text, str) and text for text in texts)
-        and all(_is_number(number) for number in (cold_ms, slots, born))
+        and all(is_finite(number) for number in (cold_ms, slots, born))
         and slots >= 1
         and state in LEAVING
         and _is_address(fields['address'])
@@ -109,10 +117,6 @@
     )
 
 
-def _is_number(number: object) -> bool:
-    return isinstance(number, int | float) and not isinstance(number, bool)
-
-
 def _is_address(text: str) -> bool:
     ip, _, port = text.rpartition(':')
     return ip.count('.') == 3 and port.isdigit() and int(port) < 65_536
--- a/src/sesamespoke/platform/headers.py
+++ b/src/sesamespoke/platform/headers.py
@@ -3,6 +3,7 @@
 from tornado.httputil import HTTPHeaders
 
 from sesamespoke.answers import end_to_end, without
+from sesamespoke.checked_fields import is_count
 from sesamespoke.intake import Call
 from sesamespoke.serving.exchange import WireNames
 from sesamespoke.serving.intake import RequestHead
@@ -60,20 +61,20 @@
 
 def _read_patience(headers: HTTPHeaders) -> float | None:
     text = headers.get(NAMES.deadline_ms, '')
-    return int(text) / MS_PER_SECOND if _is_count(text) else None
+    return int(text) / MS_PER_SECOND if is_count(text) else None
 
 
 def _read_prompt(headers: HTTPHeaders) -> Prompt:
     """Return the prompt; ``Token-Counts`` is what is read, and at most made."""
     read, _, made = headers.get(TOKEN_COUNTS, '').partition(',')
-    if not (_is_count(read) and _is_count(made)):
+    if not (is_count(read) and is_count(made)):
         return _NO_PROMPT
     hint = headers.get(LENGTH_HINT, '')
     return Prompt(
         tuple(_read_parts(headers.get(PROMPT_PREFIX, ''))),
         int(read),
         int(made),
-        int(hint) if _is_count(hint) else 0,
+        int(hint) if is_count(hint) else 0,
     )
 
 
@@ -82,13 +83,9 @@
     parts: list[PromptPart] = []
     for row in text.split(','):
         name, _, tokens = row.strip().partition(':')
-        if name and _is_count(tokens):
+        if name and is_count(tokens):
             parts.append(PromptPart(name, int(tokens)))
     return parts
 
 
-def _is_count(text: str) -> bool:
-    return text.isascii() and text.isdigit()
-
-
 _NO_PROMPT = Prompt()
--- a/src/sesamespoke/platform/orders.py
+++ b/src/sesamespoke/platform/orders.py
@@ -1,10 +1,16 @@
 """The operators' configuration, as the store holds it."""
 
 import json
-from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Any, Final
 
+from sesamespoke.checked_fields import (
+    MALFORMED,
+    Fields,
+    read_count,
+    read_flag,
+    read_number,
+    read_text,
+)
 from sesamespoke.serving.catalog import (
     Branch,
     CallerLimits,
@@ -20,10 +26,11 @@
 MS_PER_SECOND = 1000
 BITS_PER_BYTE = 8
 BITS_PER_MS_AND_MBPS = 1000
-MALFORMED: Final = (ValueError, TypeError, KeyError, AttributeError)
 DEFAULT_TIMEOUT_MS = 30_000
 """Milliseconds for a route that states no time-out."""
 DEFAULT_OBJECTIVE_MS = 1000
+MAX_TIMEOUT_MS = 86_400_000
+"""A day; a route that states more has no bound to speak of."""
 
 KINDS = MappingProxyType(
     {
@@ -33,8 +40,6 @@
     },
 )
 
-Fields = Mapping[str, Any]
-
 
 def read_catalog(content: bytes) -> Catalog | str:
     """Return a configuration, or why it can't be read."""
@@ -48,59 +53,76 @@
 def _read_fields(fields: Fields) -> Catalog:
     routes = tuple(_read_route(row) for row in fields['routes'])
     services = (_read_service(row) for row in fields['services'])
-    keys = {
-        key: Tenancy(row['name'], row.get('priority'))
-        for row in fields.get('tenants') or ()
-        for key in row['api_keys']
-    }
     limits = fields.get('limits') or {}
+    if 'version' not in fields:
+        raise KeyError('version')
     return Catalog(
-        int(fields['version']),
+        read_count(fields, 'version'),
         index_routes(routes),
         {service.name: service for service in services},
-        keys,
+        _read_keys(fields),
         _read_limits(limits),
-        float(limits.get('tokens_per_s') or 0),
+        read_number(limits, 'tokens_per_s'),
     )
 
 
+def _read_keys(fields: Fields) -> dict[str, Tenancy]:
+    keys: dict[str, Tenancy] = {}
+    for row in fields.get('tenants') or ():
+        priority = None
+        if row.get('priority') is not None:
+            priority = read_count(row, 'priority')
+        tenancy = Tenancy(read_text(row, 'name'), priority)
+        for key in row['api_keys']:
+            if isinstance(row['api_keys'], str) or not isinstance(key, str):
+                raise TypeError('api_keys is no list of texts')
+            keys[key] = tenancy
+    keys.pop('', None)
+    return keys
+
+
 def _read_route(row: Fields) -> Route:
     """Return a route; ``timeout_ms`` 0 or none means no bound of its own."""
-    timeout_ms = row.get('timeout_ms') or DEFAULT_TIMEOUT_MS
-    objective_ms = row.get('target_latency_ms') or DEFAULT_OBJECTIVE_MS
+    timeout_ms = read_number(row, 'timeout_ms', DEFAULT_TIMEOUT_MS)
+    objective_ms = read_number(row, 'target_latency_ms', DEFAULT_OBJECTIVE_MS)
     return Route(
-        row['name'],
-        row['host'],
-        row['prefix'],
+        read_text(row, 'name'),
+        read_text(row, 'host'),
+        read_text(row, 'prefix'),
         KINDS.get(row['kind'], CallKind.ONCE),
         _read_branches(row),
-        timeout_ms / MS_PER_SECOND,
-        objective_ms / MS_PER_SECOND,
-        int(row.get('max_attempts') or 1),
-        int(row.get('priority') or 0),
-        public=bool(row.get('public')),
-        resumable=bool(row.get('resume_streams')),
-        max_gap=(row.get('target_gap_ms') or 0) / MS_PER_SECOND,
+        min(timeout_ms, MAX_TIMEOUT_MS) / MS_PER_SECOND,
+        min(objective_ms, MAX_TIMEOUT_MS) / MS_PER_SECOND,
+        max(1, read_count(row, 'max_attempts', 1)),
+        read_count(row, 'priority'),
+        public=read_flag(row, 'public'),
+        resumable=read_flag(row, 'resume_streams'),
+        max_gap=read_number(row, 'target_gap_ms') / MS_PER_SECOND,
     )
 
 
 def _read_branches(row: Fields) -> tuple[Branch, ...]:
     split = row.get('traffic_split')
-    if split:
-        return tuple(
-            Branch(part['service'], float(part['weight'])) for part in split
-        )
-    return (Branch(row['service'], 1),)
+    if not split:
+        return (Branch(read_text(row, 'service'), 1),)
+    branches = tuple(
+        Branch(read_text(part, 'service'), read_number(part, 'weight'))
+        for part in split
+    )
+    if not any(branch.weight for branch in branches):
+        raise ValueError('traffic_split leaves nothing to any service')
+    return branches
 
 
 def _read_service(row: Fields) -> RoutedService:
     engine = row.get('engine')
     shape = None
     if engine:
-        shape = EngineShape(int(engine['slots']), _read_fetch_ms(engine))
+        slots = max(1, read_count(engine, 'slots', 1))
+        shape = EngineShape(slots, _read_fetch_ms(engine))
     return RoutedService(
-        row['name'],
-        float(row.get('cold_per_s') or 0),
+        read_text(row, 'name'),
+        read_number(row, 'cold_per_s'),
         shape,
     )
 
@@ -110,11 +132,13 @@
 
     ``link_mbps`` is the engines' link to each other, in megabits a second.
     """
-    link = float(engine.get('link_mbps') or 0)
-    bits = float(engine.get('kv_token_bytes') or 0) * BITS_PER_BYTE
+    link = read_number(engine, 'link_mbps')
+    bits = read_number(engine, 'kv_token_bytes') * BITS_PER_BYTE
     return bits / (link * BITS_PER_MS_AND_MBPS) if link else 0
 
 
 def _read_limits(row: Fields) -> CallerLimits:
     default = CallerLimits()
-    return CallerLimits(int(row.get('max_body_bytes') or default.body_bytes))
+    return CallerLimits(
+        max(1, read_count(row, 'max_body_bytes', default.body_bytes))
+    )
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -20,6 +20,7 @@
     Reply,
     failed,
 )
+from sesamespoke.checked_fields import is_count
 from sesamespoke.endpoint_connections import (
     Connection,
     ConnectionPool,
@@ -406,6 +407,6 @@
         return False
     _, _, seconds = head.headers.get('Keep-Alive', '').partition('timeout=')
     digits = seconds.partition(',')[0].strip()
-    if digits.isdigit():
+    if is_count(digits):
         conn.max_idle = min(conn.max_idle, int(digits) * IDLE_FRACTION)
     return True
--- a/src/sesamespoke/serving/following.py
+++ b/src/sesamespoke/serving/following.py
@@ -9,11 +9,11 @@
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing, suppress
 from dataclasses import dataclass
-from typing import Final
 
 import structlog
 import xxhash
 
+from sesamespoke.checked_fields import MALFORMED
 from sesamespoke.host_list import HostList, KnownHost
 from sesamespoke.serving.catalog import Catalog
 from sesamespoke.serving.directory import (
@@ -31,9 +31,6 @@
 HOST_PREFIX = 'sesamespoke/hosts/'
 RETRY_SECONDS = 0.3
 """The pause before the store is asked again that did not answer."""
-MALFORMED: Final = (ValueError, TypeError, KeyError, AttributeError)
-"""What reading an entry of another writer may raise."""
-
 
 log = structlog.get_logger()
 
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,218 @@
+"""Input that nobody should send: from callers, engines and operators."""
+
+import copy
+import json
+import math
+import random
+from typing import Any
+
+import pytest
+import structlog
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from support_platform import (
+    CONFIG,
+    Asked,
+    Writer,
+    answer_well,
+    head_bytes,
+    server_entry,
+)
+from support_routed import Fleet, play
+
+from sesamespoke.platform.feeds import read_endpoint
+from sesamespoke.platform.orders import read_catalog
+from sesamespoke.serving.catalog import Catalog, choose_branch
+from sesamespoke.store import Entry
+
+MANY_DIGITS = '9' * 5000
+HUGE = '9' * 400
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=5)
+    | st.sampled_from((-1, 0, 10**400, math.inf, math.nan, '', '3000'))
+)
+ANYTHING = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def spoil(fields: Any, rng: random.Random, value: object) -> Any:
+    """Return a copy of JSON fields with one of them, at any depth, replaced."""
+    spoiled = copy.deepcopy(fields)
+    inner = spoiled
+    while True:
+        keys = list(inner) if isinstance(inner, dict) else range(len(inner))
+        key = rng.choice(list(keys))
+        deeper = inner[key]
+        if not isinstance(deeper, dict | list) or not deeper:
+            break
+        if rng.random() < 0.2:
+            break
+        inner = deeper
+    inner[key] = value
+    return spoiled
+
+
+@given(st.randoms(use_true_random=False), ANYTHING)
+@settings(max_examples=400, deadline=None)
+def test_any_configuration_is_refused_or_can_be_served(
+    rng: random.Random, value: object
+) -> None:
+    catalog = read_catalog(json.dumps(spoil(CONFIG, rng, value)).encode())
+    if isinstance(catalog, str):
+        return
+    assert isinstance(catalog, Catalog)
+    assert 0 <= catalog.token_rate < math.inf
+    assert catalog.limits.body_bytes > 0
+    assert all(isinstance(key, str) and key for key in catalog.keys)
+    for path in ('/s/1', '/l/1', '/l/book/1', '/'):
+        route = catalog.find_route('a.example:80', path)
+        if route is None:
+            continue
+        assert 0 < route.timeout < math.inf
+        assert 0 < route.objective < math.inf
+        assert 0 <= route.max_gap < math.inf
+        assert route.max_attempts >= 1
+        assert isinstance(choose_branch(route, 'r1'), str)
+    for service in catalog.services.values():
+        assert 0 <= service.cold_rate < math.inf
+
+
+@given(st.randoms(use_true_random=False), ANYTHING)
+@settings(max_examples=400, deadline=None)
+def test_any_entry_of_an_engine_is_left_out_or_can_be_used(
+    rng: random.Random, value: object
+) -> None:
+    fields = spoil(server_entry('llm', '127.0.0.1:80'), rng, value)
+    entry = Entry('servers/i-1', json.dumps(fields).encode(), 3)
+    listed = read_endpoint(entry, 7)
+    if listed is not None:
+        assert listed.slots >= 1
+        assert 0 <= listed.cold_until < math.inf
+
+
+@pytest.mark.parametrize('content', [b'', b'[]', b'\xff', b'[' * 100_000])
+def test_what_is_no_entry_at_all_is_left_out(content: bytes) -> None:
+    assert read_endpoint(Entry('servers/i-1', content, 3), 7) is None
+    assert isinstance(read_catalog(content), str)
+
+
+@pytest.mark.parametrize(
+    'row',
+    [
+        f'Deadline-Ms: {MANY_DIGITS}',
+        f'Deadline-Ms: {HUGE}',
+        'Deadline-Ms: -5',
+        'Deadline-Ms: 1e3',
+        f'Token-Counts: {MANY_DIGITS},5',
+        f'Token-Counts: 5,{HUGE}',
+        f'Token-Counts: {HUGE},{HUGE}',
+        f'Length-Hint: {MANY_DIGITS}',
+        f'Prompt-Prefix: a:{MANY_DIGITS},b:2',
+        'Prompt-Prefix: ,,:,a:b',
+        'Authorization: Bearer',
+        'Last-Event-Id: \xe9\xff',
+        'X-Long: ' + 'x' * 60_000,
+    ],
+)
+def test_a_caller_s_odd_header_is_answered(row: str) -> None:
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        with structlog.testing.capture_logs() as lines:
+            answered = await (await fleet.connect()).ask(
+                '/l/1', row, 'Token-Counts: 5,5'
+            )
+        assert answered.status == 200
+        assert answered.whole
+        assert 'call_failed' not in {line['event'] for line in lines}
+
+    play(steps)
+
+
+@pytest.mark.parametrize(
+    'row',
+    [
+        f'Keep-Alive: timeout={MANY_DIGITS}',
+        'Keep-Alive: timeout=\xb2',
+        'Keep-Alive: timeout=',
+        'Connection: ,close,',
+        'Trailer: X',
+    ],
+)
+def test_an_engine_s_odd_header_costs_no_answer(row: str) -> None:
+    async def odd(asked: Asked, writer: Writer) -> None:
+        length = 'Content-Length: 4'
+        head = head_bytes(asked, 200, length)
+        writer.write(head[:-2] + row.encode('latin-1') + b'\r\n\r\nfine')
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', odd)
+        with structlog.testing.capture_logs() as lines:
+            answered = await (await fleet.connect()).ask('/l/1')
+        assert answered.status == 200
+        assert answered.body == b'fine'
+        assert 'call_failed' not in {line['event'] for line in lines}
+
+    play(steps)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'HTTP/1.1 99999999999 X\r\n\r\n',
+        b'HTTP/1.1 200 X\r\nContent-Length: %b\r\n\r\n' % MANY_DIGITS.encode(),
+        b'HTTP/1.1 200 X\r\nContent-Length: 5, 6\r\n\r\nhello',
+        b'HTTP/1.1 200 X\r\nContent-Length: \xb2\r\n\r\nhello',
+        b'HTTP/1.1 200 X\r\nTransfer-Encoding: gzip\r\n\r\nhello',
+        b'HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+        b'HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\nx',
+        b'HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n'
+        + b'f' * 60
+        + b'\r\n',
+        b'HTTP/1.1 200 X\r\n: \r\n\r\n',
+        b'\x00' * 70_000,
+        b'HTTP/1.1 100 X\r\n\r\n' * 20,
+        b'HTTP/1.1 200 X\r\nA: b\r\n folded\r\nContent-Length: 0\r\n\r\n',
+    ],
+)
+def test_what_is_no_answer_is_told_as_such(content: bytes) -> None:
+    async def odd(asked: Asked, writer: Writer) -> None:
+        writer.write(content)
+        await writer.drain()
+        writer.close()
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', odd)
+        with structlog.testing.capture_logs() as lines:
+            answered = await (await fleet.connect()).ask('/l/book/1')
+        assert answered.status >= 500
+        assert answered.whole
+        assert 'call_failed' not in {line['event'] for line in lines}
+        await fleet.add_engine('i-2', 'desk', answer_well)
+        assert (await (await fleet.connect()).ask('/l/1')).status == 200
+
+    play(steps)
+
+
+def test_an_entry_that_can_not_be_read_hides_no_other() -> None:
+    async def steps(fleet: Fleet) -> None:
+        bad = server_entry('desk', '127.0.0.1:9', slots=1)
+        content = json.dumps(bad).replace('"slots": 1', '"slots": 1e999')
+        with structlog.testing.capture_logs() as lines:
+            fleet.store.put('servers/i-0', content.encode())
+            await fleet.add_engine('i-1', 'desk', answer_well)
+            assert (await (await fleet.connect()).ask('/l/1')).status == 200
+        assert 'follower_failed' not in {line['event'] for line in lines}
+        ignored = [ln for ln in lines if ln['event'] == 'entry_ignored']
+        assert [line['key'] for line in ignored] == ['servers/i-0']
+
+    play(steps)
