Take no garbled answer of the store for an empty one, and miss no order's end

Nine cases, each with a test that failed before: - A 200 whose items are missing or in part unreadable gave an empty or shorter list: a router dropped endpoints that stood. It is an outage now, in which the last list stands. - A lease that the store did not grant (a 4xx, or an answer without a number) became lease 0: the host's entry put under it would never lapse, and would count as a live host in each bound. - A watch that began anew, as it does when a peer knows of other orders, had forgotten which orders it had told of: one that had been taken back meanwhile stayed in force, so that a data centre was left out for good. The reader keeps the set of known keys over its watches.

--- a/src/sesamespoke/platform/feeds.py
+++ b/src/sesamespoke/platform/feeds.py
@@ -33,6 +33,7 @@
     def __init__(self, store: KvStore) -> None:
         """Use a client of the store."""
         self.store = store
+        self._known_orders: set[str] = set()
         self._decoded: dict[str, tuple[int, ListedEndpoint | None]] = {}
 
     async def list_endpoints(
@@ -67,7 +68,8 @@
 
     async def watch_orders(self, wait: Wait) -> AsyncGenerator[Order]:
         """Yield what operators have ordered, then each change."""
-        async for change in self.store.watch(ORDERS, wait):
+        watch = self.store.watch(ORDERS, wait, self._known_orders)
+        async for change in watch:
             if isinstance(change, StoreUnavailable):
                 yield change
                 continue
--- a/src/sesamespoke/platform/kv_store.py
+++ b/src/sesamespoke/platform/kv_store.py
@@ -99,7 +99,7 @@
         if reply.status == OK:
             return Committed(_int_of(reply.content, 'revision'))
         if reply.status == CONDITION_FAILED:
-            return Conflict(_read_entries(reply.content))
+            return Conflict(_read_entries(reply.content) or ())
         return StoreUnavailable(f'status {reply.status}')
 
     async def grant_lease(self, ttl: float) -> Lease | StoreUnavailable:
@@ -110,7 +110,7 @@
         if isinstance(reply, StoreUnavailable):
             return reply
         number = _int_of(reply.content, 'lease')
-        return _make_lease(number, reply.content, asked_at)
+        return _make_lease(number, reply, asked_at)
 
     async def renew_lease(
         self,
@@ -123,19 +123,20 @@
             return reply
         if reply.status == NO_SUCH:
             return Absent('', 0)
-        return _make_lease(lease.number, reply.content, asked_at)
+        return _make_lease(lease.number, reply, asked_at)
 
     async def watch(
         self,
         prefix: str,
         wait: Wait,
+        known: set[str],
     ) -> AsyncGenerator[Entry | Absent | StoreUnavailable]:
         """Yield what stands below a prefix, then each change of it.
 
-        Where the history has a gap, all is read anew; keys that have gone
-        meanwhile are told as absent.
+        Where the history has a gap, all is read anew; those of the ``known``
+        keys that have gone meanwhile are told as absent. The set is kept up
+        to date, for the next watch of the same reader.
         """
-        known: set[str] = set()
         while True:
             listed = await self.scan_at(prefix)
             if isinstance(listed, StoreUnavailable):
@@ -145,9 +146,10 @@
             entries, revision = listed
             for gone in known - {entry.key for entry in entries}:
                 yield Absent(gone, revision)
+                known.discard(gone)
             for found in entries:
+                known.add(found.key)
                 yield found
-            known = {entry.key for entry in entries}
             async for change in self._changes(prefix, revision, wait):
                 _note_change(known, change)
                 yield change
@@ -208,8 +210,10 @@
             if reply.status != OK:
                 return StoreUnavailable(f'status {reply.status}')
             page = _read_entries(reply.content)
-            entries.extend(page)
             revision = revision or _revision_of(reply.content)
+            if page is None or not revision:
+                return _malformed()
+            entries.extend(page)
             if not page or not reply.content.get('has_more'):
                 return tuple(entries), revision
             after = page[-1].key
@@ -274,12 +278,17 @@
     return {'key': put.key, 'value': text, 'lease': put.lease}
 
 
-def _read_entries(content: dict[str, Any]) -> tuple[Entry, ...]:
+def _read_entries(content: dict[str, Any]) -> tuple[Entry, ...] | None:
+    """Return the entries of a page; None where one can't be read.
+
+    A page that is taken for shorter than it is would remove endpoints.
+    """
     items = content.get('items')
     if not isinstance(items, list):
-        return ()
-    entries = (_read_entry(item) for item in items)
-    return tuple(entry for entry in entries if entry is not None)
+        return None
+    entries = tuple(map(_read_entry, items))
+    whole = tuple(entry for entry in entries if entry is not None)
+    return whole if len(whole) == len(entries) else None
 
 
 def _read_change(event: object) -> Entry | Absent | None:
@@ -310,10 +319,13 @@
 
 def _make_lease(
     number: int,
-    content: dict[str, Any],
+    reply: _Reply,
     asked_at: float,
-) -> Lease:
-    ttl = _int_of(content, 'ttl_ms') / MS_PER_SECOND
+) -> Lease | StoreUnavailable:
+    """Return a lease; a key that is put under number 0 would never lapse."""
+    ttl = _int_of(reply.content, 'ttl_ms') / MS_PER_SECOND
+    if reply.status != OK or number <= 0 or ttl <= 0:
+        return StoreUnavailable(f'status {reply.status}, without a lease')
     return Lease(number, ttl, asked_at + ttl)
 
 
--- a/tests/support_platform.py
+++ b/tests/support_platform.py
@@ -32,6 +32,7 @@
     ``refuse_with`` answers every call with a status; ``silent`` answers
     none; ``drop_history`` answers watches with 410. Lists leave out keys that
     begin with ``hidden``, as a stale read does after they were written.
+    ``garbled`` is what every call is answered with instead of what it asked.
     """
 
     items: dict[str, Item] = field(default_factory=dict)
@@ -42,6 +43,7 @@
     silent: bool = False
     drop_history: bool = False
     hidden: str | None = None
+    garbled: dict[str, Any] | None = None
     granted: int = -1
     page: int = 500
     calls: list[str] = field(default_factory=list)
@@ -101,6 +103,9 @@
         if self.refuse_with is not None:
             self.answer(request, self.refuse_with, {})
             return
+        if self.garbled is not None:
+            self.answer(request, 200, self.garbled)
+            return
         query = {key: rows[0] for key, rows in parse_qs(parts.query).items()}
         self.queries.append(query)
         body = json.loads(request.body) if request.body else {}
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncGenerator, Awaitable, Callable
+from typing import Any
 
 import pytest
 from support_platform import CONFIG, StoreStandIn
@@ -94,7 +95,9 @@
 
     async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
         waits = iter((0.05, 0.1, 0.15))
-        task = asyncio.create_task(_exhaust(store.watch('p/', waits.__next__)))
+        task = asyncio.create_task(
+            _exhaust(store.watch('p/', waits.__next__, set()))
+        )
         await asyncio.wait((task,), timeout=10)
         asked = [
             query['wait_ms'] for query in stand_in.queries if 'wait_ms' in query
@@ -188,3 +191,58 @@
         task.cancel()
 
     play(steps)
+
+
+@pytest.mark.parametrize(
+    'garbled',
+    [
+        {},
+        {'items': []},
+        {'items': None, 'as_of': 4},
+        {'items': [{'key': 'k', 'revision': 3}, 5], 'as_of': 4},
+        {'error': 'try again'},
+    ],
+)
+def test_an_answer_that_can_not_be_read_is_no_empty_list(
+    garbled: dict[str, Any],
+) -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        stand_in.garbled = garbled
+        listed = await PlatformFeeds(store).list_endpoints()
+        assert isinstance(listed, StoreUnavailable)
+
+    play(steps)
+
+
+@pytest.mark.parametrize(
+    'garbled', [{}, {'lease': 0, 'ttl_ms': 5000}, {'lease': 7, 'ttl_ms': None}]
+)
+def test_what_is_no_lease_is_not_put_under(garbled: dict[str, Any]) -> None:
+    """A key under lease 0 would outlive its host."""
+
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        lease = await store.grant_lease(5)
+        assert isinstance(lease, Lease)
+        stand_in.garbled = garbled
+        assert isinstance(await store.grant_lease(5), StoreUnavailable)
+        if not garbled.get('ttl_ms'):
+            renewed = await store.renew_lease(lease)
+            assert isinstance(renewed, StoreUnavailable)
+
+    play(steps)
+
+
+def test_an_order_that_went_while_nobody_watched_is_told_as_gone() -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        stand_in.put('op/evacuate/north', b'{}')
+        feeds = PlatformFeeds(store)
+        async for order in feeds.watch_orders(lambda: 2):
+            assert order == Evacuation('north', in_service=False)
+            break
+        stand_in.remove('op/evacuate/north')
+        async with asyncio.timeout(5):
+            async for order in feeds.watch_orders(lambda: 2):
+                assert order == Evacuation('north', in_service=True)
+                break
+
+    play(steps)
