--- a/src/sesamespoke/router.py
+++ b/src/sesamespoke/router.py
@@ -111,7 +111,7 @@
         return ShutdownSteps(
             set_unready=lambda: self.metrics.count('shutdowns'),
             set_leaving=self.peers.set_leaving,
-            active=lambda: self.callers.active,
+            requests=lambda: self.callers.requests,
             stop_accepting=self.callers.stop_accepting,
             stop=self.stop,
         )
--- a/src/sesamespoke/shutdown.py
+++ b/src/sesamespoke/shutdown.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Set
 from dataclasses import dataclass
 
 import structlog
@@ -22,13 +22,13 @@
     """What a stop does, in this order.
 
     ``set_unready`` turns the balancer away, ``set_leaving`` hands roles
-    over, ``active`` counts requests queued or served, ``stop_accepting``
+    over, ``requests`` returns those queued or served, ``stop_accepting``
     closes the callers' port and ``stop`` ends everything else.
     """
 
     set_unready: Callable[[], None]
     set_leaving: Callable[[], None]
-    active: Callable[[], int]
+    requests: Callable[[], Set[object]]
     stop_accepting: Callable[[], None]
     stop: Callable[[], Awaitable[None]]
 
@@ -105,30 +105,54 @@
         self._tell('shutdown_began')
         await asyncio.sleep(self._notice)
         self._steps.set_leaving()
-        await self._wait_until_quiet()
+        await self._wait_for_begun()
         self._steps.stop_accepting()
         await self._wait_until_quiet()
         await self._steps.stop()
         self._tell('shutdown_ended')
 
+    async def _wait_for_begun(self) -> None:
+        """Wait for the requests that are in work now.
+
+        Others may go on coming, so that no moment is without any.
+        """
+        begun = frozenset(self._steps.requests())
+        warn = self._make_warning()
+        while begun & self._steps.requests():
+            warn()
+            await asyncio.sleep(POLL_SECONDS)
+
     async def _wait_until_quiet(self) -> None:
-        """Wait until no request has been active for a while."""
+        """Wait until no request has been in work for a while."""
         loop = asyncio.get_running_loop()
-        warn_at = loop.time() + self._warn_after
-        quiet_since = loop.time()
-        while loop.time() - quiet_since < QUIET_SECONDS:
+        warn = self._make_warning()
+        quiet_at = loop.time() + QUIET_SECONDS
+        while loop.time() < quiet_at:
             await asyncio.sleep(POLL_SECONDS)
-            if not self._steps.active():
-                continue
-            quiet_since = loop.time()
-            if quiet_since >= warn_at:
-                log.warning('slow_shutdown', active=self._steps.active())
-                warn_at = quiet_since + self._warn_after
+            if self._steps.requests():
+                quiet_at = loop.time() + QUIET_SECONDS
+                warn()
+
+    def _make_warning(self) -> Callable[[], None]:
+        """Return what tells now and then that requests take long."""
+        loop = asyncio.get_running_loop()
+        warn_at = loop.time() + self._warn_after
+
+        def warn() -> None:
+            nonlocal warn_at
+            if loop.time() >= warn_at:
+                warn_at = loop.time() + self._warn_after
+                log.warning('slow_shutdown', active=self._count())
+
+        return warn
 
     def _warn_again(self) -> None:
-        log.warning('already_stopping', active=self._steps.active())
+        log.warning('already_stopping', active=self._count())
 
     def _tell(self, kind: str) -> None:
-        active = self._steps.active()
+        active = self._count()
         self._timeline.record(kind, active=active)
         log.info(kind, active=active)
+
+    def _count(self) -> int:
+        return len(self._steps.requests())
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -222,6 +222,50 @@
     run(scenario())
 
 
+def test_stop_ends_while_callers_go_on_coming_and_cuts_none() -> None:
+    async def answer_slowly(
+        got: Received,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await asyncio.sleep(0.1)
+        await answer_well(got, writer)
+
+    async def keep_asking(path: Path, stopping: asyncio.Task[None]) -> None:
+        while not stopping.done():
+            try:
+                answer = await ask(path, chat_bytes())
+            except ConnectionRefusedError:
+                return
+            assert answer.startswith(b'HTTP/1.1 200')
+
+    async def scenario() -> None:
+        async with open_path(answer_slowly) as path:
+            path.ready = False
+            shutdown = Shutdown(
+                ShutdownSteps(
+                    lambda: None,
+                    lambda: None,
+                    lambda: path.server.requests,
+                    path.server.stop_accepting,
+                    path.server.close,
+                ),
+                path.parts.timeline,
+                warn_after=1,
+                notice=0.05,
+            )
+            stopping = asyncio.create_task(shutdown.run())
+            callers = [
+                asyncio.create_task(keep_asking(path, stopping))
+                for _ in range(20)
+            ]
+            await asyncio.sleep(0.2)
+            shutdown.ask()
+            await asyncio.wait_for(stopping, 5)
+            await asyncio.gather(*callers)
+
+    run(scenario())
+
+
 def test_stop_is_seen_by_the_balancer_and_cuts_no_stream() -> None:
     async def stream_slowly(
         got: Received,
@@ -249,7 +293,7 @@
                 ShutdownSteps(
                     set_unready,
                     lambda: steps.append('leaving'),
-                    lambda: path.server.active,
+                    lambda: path.server.requests,
                     path.server.stop_accepting,
                     stop,
                 ),
