Leave out a list of endpoints that is older than what has come meanwhile

What callers saw: an engine that had left was given requests for a moment. A router that read the list by itself, while the store was slow, took its answer even if a later list had come from the reader of its data centre in between. It now counts only if nothing newer came since it was asked for; an older revision that was asked for later stands for a store that went back.

--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -69,10 +69,16 @@
         self._returned_at: dict[str, float] = {}
         self._usable: dict[str, tuple[ListedEndpoint, ...]] = {}
 
-    def replace(self, listing: Listing) -> None:
-        """Take a whole list that the platform has just told."""
+    def replace(self, listing: Listing, asked_at: float = math.inf) -> None:
+        """Take a whole list that the platform has just told.
+
+        One that was asked for before a later one came is left out: what had
+        gone meanwhile would be in use again.
+        """
+        if listing.revision < self.revision and asked_at <= self.listed_at:
+            return
         fresh = {endpoint.name: endpoint for endpoint in listing.endpoints}
-        self.revision = max(self.revision, listing.revision)
+        self.revision = listing.revision
         self.digest = _digest_of(listing.endpoints)
         now = self._clock()
         if now < self._regain_until:
--- a/src/sesamespoke/serving/following.py
+++ b/src/sesamespoke/serving/following.py
@@ -193,6 +193,7 @@
             if not self._news.must_read(interval):
                 await asyncio.sleep(interval / 2)
                 continue
+            asked_at = asyncio.get_running_loop().time()
             listed = await self._feeds.list_endpoints()
             if isinstance(listed, StoreUnavailable):
                 store.note(listed)
@@ -200,7 +201,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             store.note(None)
-            self._directory.replace(listed)
+            self._directory.replace(listed, asked_at)
             self._news.tell(listed)
             await asyncio.sleep(interval)
 
--- a/tests/test_operators_failures.py
+++ b/tests/test_operators_failures.py
@@ -7,6 +7,8 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from typing import Any
+from unittest import mock
 
 import pytest
 from support_platform import (
@@ -24,6 +26,9 @@
 )
 from support_routed import BODY, CFG, Fleet, play, until
 
+from sesamespoke.platform.feeds import PlatformFeeds
+from sesamespoke.serving.directory import Listing
+
 SECOND_COPY_SECONDS = 0.05
 NO_KEY_1 = [{'name': 'acme', 'api_keys': ['key-2'], 'priority': 1}]
 
@@ -260,3 +265,37 @@
         assert not gone.asked
 
     play(steps)
+
+
+def test_a_list_that_comes_late_brings_no_engine_back() -> None:
+    """The list was read before the engine left, on a slow day of the store."""
+    read_list = PlatformFeeds.list_endpoints
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', answer_well)
+        await fleet.add_engine('i-2', 'desk', answer_well)
+        directory = fleet.router.directory
+        read, passed_on = asyncio.Event(), asyncio.Event()
+
+        async def read_slowly(feeds: PlatformFeeds) -> Any:
+            listed = await read_list(feeds)
+            read.set()
+            await passed_on.wait()
+            return listed
+
+        with mock.patch.object(PlatformFeeds, 'list_endpoints', read_slowly):
+            await read.wait()
+            fleet.store.remove('servers/i-1')
+            listed = await read_list(PlatformFeeds(fleet.client))
+            assert isinstance(listed, Listing)
+            directory.replace(listed)
+            in_use: list[str] = []
+            directory.listeners.append(
+                lambda found: in_use.extend(found.endpoints)
+            )
+            passed_on.set()
+            await asyncio.sleep(0.3)
+        assert 'i-2' in directory.endpoints
+        assert 'i-1' not in in_use
+
+    play(steps)
--- a/tests/test_serving_directory.py
+++ b/tests/test_serving_directory.py
@@ -67,3 +67,23 @@
     directory = opened(Clock())
     directory.replace(Listing(1, (replace(FIRST, born=2), SECOND)))
     assert not directory.is_usable(FIRST)
+
+
+def test_a_list_from_before_a_later_one_is_left_out() -> None:
+    clock = Clock()
+    directory = opened(clock)
+    asked_at = clock.now
+    clock.now += 0.5
+    directory.replace(Listing(3, (SECOND,)))
+    directory.replace(Listing(2, (FIRST, SECOND)), asked_at)
+    assert directory.usable('llm') == (SECOND,)
+
+
+def test_a_store_that_went_back_is_believed_when_it_is_asked_again() -> None:
+    clock = Clock()
+    directory = opened(clock)
+    directory.replace(Listing(7, (SECOND,)))
+    clock.now += 0.5
+    directory.replace(Listing(2, (FIRST, SECOND)), clock.now)
+    assert directory.usable('llm') == (FIRST, SECOND)
+    assert directory.revision == 2
