Refuse a settings file whose fields can't be used

A file with a field of the wrong type was taken, or raised what nobody caught: at a reload the watch over the file ended without a line, and a budget of nan or a window of 0 would have come into force. A text as the host's name, bounds that are finite, and ports are now checked; any other file is refused with the field's name, and the settings before stay. The test replaces any field by anything; it failed before.

--- a/src/sesamespoke/checked_fields.py
+++ b/src/sesamespoke/checked_fields.py
@@ -11,7 +11,7 @@
 MALFORMED: Final = (
     ValueError,
     TypeError,
-    KeyError,
+    LookupError,
     AttributeError,
     OverflowError,
     RecursionError,
@@ -51,14 +51,19 @@
     return bool(flag)
 
 
-def read_number(fields: Fields, key: str, default: float = 0) -> float:
-    """Return a number that is not negative; 0 or none means the default."""
+def read_amount(fields: Fields, key: str, default: float) -> float:
+    """Return a number that is not negative; the default if it is left out."""
     number = fields.get(key)
     if number is None:
         return default
     if not is_finite(number) or number < 0:
         raise ValueError(f'{key} is no number that can be used')
-    return float(number) or default
+    return float(number)
+
+
+def read_number(fields: Fields, key: str, default: float = 0) -> float:
+    """Return what ``read_amount`` does, but the default for 0 as well."""
+    return read_amount(fields, key, default) or default
 
 
 def read_count(fields: Fields, key: str, default: int = 0) -> int:
--- a/src/sesamespoke/platform/settings.py
+++ b/src/sesamespoke/platform/settings.py
@@ -1,11 +1,17 @@
 """The settings file that the platform writes, decoded."""
 
 import tomllib
-from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
+from sesamespoke.checked_fields import (
+    MALFORMED,
+    Fields,
+    read_amount,
+    read_count,
+    read_number,
+    read_text,
+)
 from sesamespoke.serving.retry_budget import RetryBounds
 from sesamespoke.serving.settings import (
     FeedSettings,
@@ -15,6 +21,7 @@
 from sesamespoke.settings import Address
 
 MS_PER_SECOND = 1000
+MAX_PORT = 65_535
 SETTINGS_VARIABLE = 'SESAMESPOKE_SETTINGS'
 METRICS_PORT = 9464
 """The port that the deploy file names for metrics."""
@@ -48,29 +55,29 @@
             return _read_fields(tomllib.load(file))
     except OSError as exc:
         return f'{path}: {exc.strerror}'
-    except (ValueError, TypeError, KeyError) as exc:
+    except MALFORMED as exc:
         return f'{path}: {type(exc).__name__}: {exc}'
 
 
-def _read_fields(fields: Mapping[str, Any]) -> PlatformSettings:
+def _read_fields(fields: Fields) -> PlatformSettings:
     listens = fields['listen_addresses']
     bounds = fields.get('bounds', {})
-    ip = fields['ip_address']
+    ip = read_text(fields, 'ip_address')
     limits = fields.get('limits', {})
-    drain = float(bounds.get('drain_timeout_ms', 2000)) / MS_PER_SECOND
-    descriptors = int(limits.get('file_descriptors') or DESCRIPTORS)
-    longest = float(bounds.get('grace_period_s', 8)) * STOP_FRACTION
+    drain = read_number(bounds, 'drain_timeout_ms', 2000) / MS_PER_SECOND
+    descriptors = read_count(limits, 'file_descriptors', DESCRIPTORS)
+    longest = read_number(bounds, 'grace_period_s', 8) * STOP_FRACTION
     serving = ServingSettings(
-        fields['node_name'],
-        fields['zone'],
+        read_text(fields, 'node_name'),
+        read_text(fields, 'zone'),
         callers=read_address(listens['frontend']),
         ready=read_address(listens['ready']),
         metrics=Address(ip, METRICS_PORT),
-        peers=Address(ip, int(fields['internal_port_range'][0])),
+        peers=Address(ip, _read_port(fields['internal_port_range'][0])),
         retries=RetryBounds(
-            float(bounds.get('retry_budget_ratio', 0.1)),
-            float(bounds.get('budget_window_s', 10)),
-            float(bounds.get('retry_budget_slack', 10)),
+            read_amount(bounds, 'retry_budget_ratio', 0.1),
+            read_number(bounds, 'budget_window_s', 10),
+            read_amount(bounds, 'retry_budget_slack', 10),
         ),
         stop=StopSettings(min(NOTICE_SECONDS, longest / 2), longest),
         feeds=FeedSettings(
@@ -86,4 +93,13 @@
 def read_address(text: str) -> Address:
     """Return an address written as ``IP:PORT``."""
     ip, _, port = text.rpartition(':')
-    return Address(ip, int(port))
+    if not ip:
+        raise ValueError(f'{text!r} is no address')
+    return Address(ip, _read_port(port))
+
+
+def _read_port(port: object) -> int:
+    number = int(str(port))
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f'{port!r} is no port')
+    return number
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -4,6 +4,8 @@
 import json
 import math
 import random
+import tempfile
+import tomllib
 from typing import Any
 
 import pytest
@@ -19,9 +21,11 @@
     server_entry,
 )
 from support_routed import Fleet, play
+from test_platform_words import SETTINGS
 
 from sesamespoke.platform.feeds import read_endpoint
 from sesamespoke.platform.orders import read_catalog
+from sesamespoke.platform.settings import load_settings
 from sesamespoke.serving.catalog import Catalog, choose_branch
 from sesamespoke.store import Entry
 
@@ -100,6 +104,49 @@
         assert 0 <= listed.cold_until < math.inf
 
 
+def write_toml(value: Any) -> str:
+    """Return a value as TOML writes it inline."""
+    if isinstance(value, dict):
+        rows = (
+            f'{json.dumps(key)} = {write_toml(row)}'
+            for key, row in value.items()
+        )
+        return '{' + ', '.join(rows) + '}'
+    if isinstance(value, list):
+        return '[' + ', '.join(map(write_toml, value)) + ']'
+    if isinstance(value, float):
+        return repr(value)
+    return json.dumps(value, ensure_ascii=False)
+
+
+@given(st.randoms(use_true_random=False), ANYTHING)
+@settings(max_examples=400, deadline=None)
+def test_any_settings_file_is_refused_or_can_be_served_by(
+    rng: random.Random, value: object
+) -> None:
+    fields = spoil(tomllib.loads(SETTINGS), rng, value)
+    rows = (
+        f'{json.dumps(key)} = {write_toml(row)}' for key, row in fields.items()
+    )
+    with tempfile.NamedTemporaryFile(suffix='.toml') as file:
+        file.write('\n'.join(rows).encode(errors='replace'))
+        file.flush()
+        cfg = load_settings(file.name)
+    if isinstance(cfg, str):
+        return
+    serving = cfg.serving
+    assert isinstance(serving.host, str) and serving.host
+    assert 0 <= serving.retries.ratio < math.inf
+    assert 0 < serving.retries.window < math.inf
+    assert 0 <= serving.retries.slack < math.inf
+    assert 0 < serving.stop.notice < serving.stop.longest < math.inf
+    assert 0 < serving.feeds.endpoints
+    assert serving.max_callers >= 1
+    for address in (serving.callers, serving.ready, serving.peers, cfg.store):
+        assert address.ip
+        assert 0 < address.port < 65_536
+
+
 @pytest.mark.parametrize('content', [b'', b'[]', b'\xff', b'[' * 100_000])
 def test_what_is_no_entry_at_all_is_left_out(content: bytes) -> None:
     assert read_endpoint(Entry('servers/i-1', content, 3), 7) is None
