Leave a silent stream only where another engine can go on

What callers saw: a stream was cut because its engine had been silent for some seconds, though no retry was allowed or no other engine had room; the engine might have gone on.

Before it leaves, a router now takes the retry and looks for a place; without both it goes on listening.

--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -53,6 +53,8 @@
 """The largest answer that is kept in memory until it is whole."""
 DEADLINE_SLACK = 0.1
 """Seconds that an endpoint has for saying that the deadline passed."""
+MIN_LOOK_SECONDS = 0.25
+"""How soon a silent endpoint is looked at again that could not be left."""
 IDLE_FRACTION = 0.75
 """The part of an endpoint's idle timeout after which no use is made."""
 
@@ -87,8 +89,9 @@
     connection had closed; ``resent`` tells that it did.
     ``patience`` is how long the endpoint may take to its first byte of the
     body, in seconds; silence later ends a stream that may be resumed after
-    ``silence``. The endpoint is to fetch what it lacks of the prompt from the
-    one at ``keeper_address``, if that is set.
+    ``silence``, if ``may_leave`` says that another can go on. The endpoint is
+    to fetch what it lacks of the prompt from the one at ``keeper_address``, if
+    that is set.
     """
 
     def __init__(
@@ -109,6 +112,7 @@
         self.first_byte_at: float | None = None
         self.may_send: Callable[[], bool] = _always
         self.may_resend: Callable[[], bool] = _never
+        self.may_leave: Callable[[], bool] = _always
         self._line = line
         self._job = job
         self._endpoint = endpoint
@@ -258,12 +262,8 @@
             raise Failure(BAD_ANSWER, 'the stream is not signed')
         take = self._make_sink(conn, head, body)
         while not body.finished:
-            silence = self.silence
-            if self.first_byte_at is None:
-                silence = max(0, self._started_at + self.patience)
-                silence -= self._loop.time()
-            ended = await conn.pump(take, min(silence, _FOREVER))
-            if not ended:
+            is_open = await self._pump(conn, take)
+            if not is_open:
                 _end_by_close(conn, body)
             await self._reply.drain()
             if self._relay.overflowing:
@@ -274,6 +274,26 @@
             self._start_reply(head)
         return Attempt(Verdict.RAN, Outcome.DONE, passed_on=True)
 
+    async def _pump(self, conn: Connection, take: Sink) -> bool:
+        """Pass events on for a while; return whether more can come.
+
+        A silent endpoint is left only where another can go on.
+        """
+        try:
+            return await conn.pump(take, self._silence_left())
+        except TimeoutError:
+            if self.may_leave():
+                raise
+        return True
+
+    def _silence_left(self) -> float:
+        """Return for how long the endpoint may go on without an event."""
+        silence = self.silence
+        if self.first_byte_at is None:
+            patience_left = self._started_at + self.patience
+            silence = max(MIN_LOOK_SECONDS, patience_left - self._loop.time())
+        return min(silence, _FOREVER)
+
     def _make_sink(
         self,
         conn: Connection,
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -166,6 +166,7 @@
         self._set_patience(exchange)
         exchange.may_send = lambda: self._may_send(grant)
         exchange.may_resend = lambda: self._may_resend(grant)
+        exchange.may_leave = lambda: self._may_leave(grant)
         exchange.on_first_byte = lambda: parts.chooser.loads.note_read(
             grant.running
         )
@@ -198,6 +199,23 @@
             return False
         return self._payment.spend()
 
+    def _may_leave(self, grant: Reservation) -> bool:
+        """Return whether another endpoint can go on with a stream now.
+
+        A silent one may still speak; to leave it for nothing cuts a caller.
+        """
+        can_resume = self._job.route.resumable and bool(self._relay.last_id)
+        if self._reply.started and not can_resume:
+            return False
+        if not self._payment.spend():
+            return False
+        avoided = frozenset(self._progress.avoided | {grant.endpoint.name})
+        place = self._parts.chooser.reserve(self._job, 1, avoided)
+        if place is None:
+            return False
+        self._parts.chooser.release(place)
+        return True
+
     def _set_patience(self, exchange: Exchange) -> None:
         """Let an endpoint go that is silent, where another may be asked."""
         route = self._job.route
--- a/tests/test_operators_failures.py
+++ b/tests/test_operators_failures.py
@@ -153,6 +153,27 @@
     play(steps)
 
 
+@pytest.mark.parametrize('sent', [0, 1, 2])
+def test_a_silent_stream_is_not_cut_where_no_other_engine_can_go_on(
+    sent: int,
+) -> None:
+    async def pause(asked: Asked, writer: Writer) -> None:
+        writer.write(head_bytes(asked, 200, CHUNKED))
+        for number in range(1, 4):
+            await asyncio.sleep(2.6 if number == sent + 1 else 0.01)
+            writer.write(chunk(event(number)))
+        writer.write(LAST_CHUNK)
+
+    async def steps(fleet: Fleet) -> None:
+        engine = await fleet.add_engine('i-1', 'llm', pause)
+        answered = await (await fleet.connect()).ask('/s/1')
+        assert answered.whole
+        assert answered.body == event(1) + event(2) + event(3)
+        assert len(engine.asked) == 1
+
+    play(steps)
+
+
 async def drip(writer: Writer) -> None:
     """Send a byte of an event now and then."""
     while not writer.is_closing():
