Let both planned stops wait by the same two functions

Change: shutdown.py has wait_for_begun and wait_until_quiet, which are given what ends the wait; the routed stop calls them with its grace period, the other with its warning. The number is taken from the set. No behaviour changes.

--- a/src/sesamespoke/request_server.py
+++ b/src/sesamespoke/request_server.py
@@ -119,7 +119,7 @@
     @property
     def active(self) -> int:
         """Return the number of requests in work."""
-        return len(self._tasks) + len(self._arriving)
+        return len(self.requests)
 
     @property
     def requests(self) -> Set[object]:
--- a/src/sesamespoke/serving/stopping.py
+++ b/src/sesamespoke/serving/stopping.py
@@ -1,11 +1,17 @@
 """The planned stop of a router, within the time that the host is given."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Set
+from collections.abc import Awaitable, Callable
 
 from sesamespoke.serving.serving_call import Log
 from sesamespoke.serving.settings import StopSettings
-from sesamespoke.shutdown import POLL_SECONDS, QUIET_SECONDS, StopSignal
+from sesamespoke.shutdown import (
+    QUIET_SECONDS,
+    Requests,
+    StopSignal,
+    wait_for_begun,
+    wait_until_quiet,
+)
 
 
 class PlannedStop:
@@ -20,7 +26,7 @@
     def __init__(
         self,
         cfg: StopSettings,
-        requests: Callable[[], Set[object]],
+        requests: Requests,
         log: Log,
     ) -> None:
         """Prepare; ``requests`` returns those in work."""
@@ -44,30 +50,17 @@
     ) -> None:
         """Return once the stop was asked for and everything has ended."""
         await self._signal.wait()
-        ends_at = asyncio.get_running_loop().time() + self._cfg.longest
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + self._cfg.longest
         await asyncio.sleep(self._cfg.notice)
         self.closed = True
-        await self._wait_for_begun(ends_at - QUIET_SECONDS)
+        await wait_for_begun(
+            self._requests, lambda: loop.time() >= ends_at - QUIET_SECONDS
+        )
         stop_accepting()
-        await self._wait_until_quiet(ends_at)
+        await wait_until_quiet(self._requests, lambda: loop.time() >= ends_at)
         self._log('stop_ended', cut=len(self._requests()))
         await stop()
 
-    async def _wait_for_begun(self, ends_at: float) -> None:
-        """Wait for the requests that are in work now."""
-        loop = asyncio.get_running_loop()
-        begun = frozenset(self._requests())
-        while begun & self._requests() and loop.time() < ends_at:
-            await asyncio.sleep(POLL_SECONDS)
-
-    async def _wait_until_quiet(self, ends_at: float) -> None:
-        """Wait until no request has been in work for a while."""
-        loop = asyncio.get_running_loop()
-        quiet_at = loop.time() + QUIET_SECONDS
-        while loop.time() < min(quiet_at, ends_at):
-            await asyncio.sleep(POLL_SECONDS)
-            if self._requests():
-                quiet_at = loop.time() + QUIET_SECONDS
-
     def _tell_began(self) -> None:
         self._log('stop_began', active=len(self._requests()))
--- a/src/sesamespoke/shutdown.py
+++ b/src/sesamespoke/shutdown.py
@@ -14,6 +14,11 @@
 QUIET_SECONDS = 0.25
 POLL_SECONDS = 0.05
 
+Requests = Callable[[], Set[object]]
+"""Returns those that are in work now."""
+IsOver = Callable[[], bool]
+"""Returns whether to wait no longer; asked several times a second."""
+
 log = structlog.get_logger()
 
 
@@ -28,11 +33,31 @@
 
     set_unready: Callable[[], None]
     set_leaving: Callable[[], None]
-    requests: Callable[[], Set[object]]
+    requests: Requests
     stop_accepting: Callable[[], None]
     stop: Callable[[], Awaitable[None]]
 
 
+async def wait_for_begun(requests: Requests, is_over: IsOver) -> None:
+    """Wait for the requests that are in work now.
+
+    Others may go on coming, so that no moment is without any.
+    """
+    begun = frozenset(requests())
+    while begun & requests() and not is_over():
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def wait_until_quiet(requests: Requests, is_over: IsOver) -> None:
+    """Wait until no request has been in work for a while."""
+    loop = asyncio.get_running_loop()
+    quiet_at = loop.time() + QUIET_SECONDS
+    while loop.time() < quiet_at and not is_over():
+        await asyncio.sleep(POLL_SECONDS)
+        if requests():
+            quiet_at = loop.time() + QUIET_SECONDS
+
+
 class StopSignal:
     """The operators' wish that the process stops, told by a signal."""
 
@@ -105,44 +130,27 @@
         self._tell('shutdown_began')
         await asyncio.sleep(self._notice)
         self._steps.set_leaving()
-        await self._wait_for_begun()
+        await wait_for_begun(self._steps.requests, self._make_warning())
         self._steps.stop_accepting()
-        await self._wait_until_quiet()
+        await wait_until_quiet(self._steps.requests, self._make_warning())
         await self._steps.stop()
         self._tell('shutdown_ended')
 
-    async def _wait_for_begun(self) -> None:
-        """Wait for the requests that are in work now.
+    def _make_warning(self) -> IsOver:
+        """Return what tells now and then that requests take long.
 
-        Others may go on coming, so that no moment is without any.
+        It never ends the wait.
         """
-        begun = frozenset(self._steps.requests())
-        warn = self._make_warning()
-        while begun & self._steps.requests():
-            warn()
-            await asyncio.sleep(POLL_SECONDS)
-
-    async def _wait_until_quiet(self) -> None:
-        """Wait until no request has been in work for a while."""
-        loop = asyncio.get_running_loop()
-        warn = self._make_warning()
-        quiet_at = loop.time() + QUIET_SECONDS
-        while loop.time() < quiet_at:
-            await asyncio.sleep(POLL_SECONDS)
-            if self._steps.requests():
-                quiet_at = loop.time() + QUIET_SECONDS
-                warn()
-
-    def _make_warning(self) -> Callable[[], None]:
-        """Return what tells now and then that requests take long."""
         loop = asyncio.get_running_loop()
         warn_at = loop.time() + self._warn_after
 
-        def warn() -> None:
+        def warn() -> bool:
             nonlocal warn_at
-            if loop.time() >= warn_at:
+            active = self._count()
+            if active and loop.time() >= warn_at:
                 warn_at = loop.time() + self._warn_after
-                log.warning('slow_shutdown', active=self._count())
+                log.warning('slow_shutdown', active=active)
+            return False
 
         return warn
 
