Tell events from comments in one place

Cause: both ways of a request looked for the data field by themselves to take an event for a sign of life. Change: events.has_data, which both call; the constant stays inside. No behaviour changes.

--- a/src/sesamespoke/events.py
+++ b/src/sesamespoke/events.py
@@ -111,6 +111,11 @@
         return None
 
 
+def has_data(events: bytes) -> bool:
+    """Return whether some of these whole events are more than comments."""
+    return DATA_FIELD in events
+
+
 def _find_end(buf: bytes) -> int:
     ends = (buf.rfind(end) + len(end) for end in EVENT_ENDS if end in buf)
     return max(ends, default=0)
--- a/src/sesamespoke/relaying.py
+++ b/src/sesamespoke/relaying.py
@@ -6,7 +6,7 @@
 from sesamespoke.answers import EVENTS_TYPE, Answer, end_to_end, without
 from sesamespoke.attempts import Attempt, Failure, Reply, concluded
 from sesamespoke.endpoint_connections import Connection, Sink
-from sesamespoke.events import DATA_FIELD, EventRelay, read_usage
+from sesamespoke.events import EventRelay, has_data, read_usage
 from sesamespoke.framing import BodyReader, Head
 from sesamespoke.limits import Outcome
 from sesamespoke.verdicts import BAD_ANSWER, ENDPOINT_FAILED, Verdict
@@ -45,7 +45,7 @@
 
     def mark_event(self, events: bytes) -> None:
         """Take whole events for progress, but for mere comments."""
-        if DATA_FIELD in events:
+        if has_data(events):
             self._conn.mark_progress()
 
     async def pump(self, sink: Sink) -> None:
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -26,7 +26,7 @@
     ConnectionPool,
     Sink,
 )
-from sesamespoke.events import DATA_FIELD, EventRelay
+from sesamespoke.events import EventRelay, has_data
 from sesamespoke.framing import BodyReader, FramingError, Head
 from sesamespoke.limits import Outcome
 from sesamespoke.serving.catalog import CallKind
@@ -310,7 +310,7 @@
             if not events:
                 return not (self._relay.overflowing or body.finished)
             is_first = self.first_byte_at is None
-            if DATA_FIELD in events:
+            if has_data(events):
                 conn.mark_progress()
             elif is_first:
                 # Comments don't begin a reply, which could not be resumed.
