--- a/src/sesamespoke/quarantine.py
+++ b/src/sesamespoke/quarantine.py
@@ -134,6 +134,7 @@
             self._links.send(host, self._describe(digest, record))
 
     def _on_suspect(self, sender: str, message: Suspect) -> None:
+        self._metrics.count('suspects_heard')
         if not message.endpoints:
             self._suspects.remove(message.digest)
             return
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -94,7 +94,9 @@
         )
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.pool = ConnectionPool(POOL_SETTINGS)
-        suspects = SharedCrashTracker(self.peers, self.metrics, self.timeline)
+        suspects = SharedCrashTracker(
+            self.peers, self.metrics, self.timeline, log.info
+        )
         serving = ServingDependencies(
             ExchangeContext(self.pool, names),
             self.chooser,
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -326,22 +326,26 @@
         step: RetryDecision,
     ) -> None:
         """Log an attempt that gave no usable response, and what follows."""
-        deps = self._deps
+        deps, job = self._deps, self._job
         budget = self._budget_for(exchange)
         deps.metrics.count(
             'retry_decisions',
-            service=self._job.service,
+            service=job.service,
             step=step.value,
             paid=str(exchange.sent).lower(),
         )
         deps.log(
             'attempt_failed',
-            request_id=self._job.request_id,
-            service=self._job.service,
+            request_id=job.request_id,
+            service=job.service,
             endpoint=reservation.endpoint.name,
             verdict=attempt.verdict.value,
             why=attempt.detail,
             sent=exchange.sent,
+            broke=attempt.broke,
+            answer_begun=exchange.first_byte_at is not None,
+            digest=job.digest.hex(),
+            parts=[part.name for part in job.prompt.parts],
             expected_ms=round(reservation.placement.expected_ms),
             next=step.value,
             **budget.standing(),
