--- a/tests/support_platform.py
+++ b/tests/support_platform.py
@@ -239,6 +239,7 @@
 
     handler: RequestHandler
     requests: list[ReceivedRequest] = field(default_factory=list)
+    _writers: set[Writer] = field(default_factory=set)
 
     async def start(self) -> str:
         self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -248,8 +249,23 @@
     def stop(self) -> None:
         self._server.close()
 
+    def crash(self) -> None:
+        """Reset every connection and refuse new ones."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: Writer
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await self._serve_requests(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_requests(
+        self, reader: asyncio.StreamReader, writer: Writer
     ) -> None:
         while True:
             try:
--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,90 @@
+"""Requests with a prompt part on which each endpoint crashes."""
+
+import asyncio
+from dataclasses import dataclass
+
+from support_platform import (
+    CHUNKED,
+    ReceivedRequest,
+    Writer,
+    head_bytes,
+    stream_events,
+)
+from support_routed import Fleet, Response, run_with_fleet
+
+ENGINES = 6
+ROUNDS = 12
+DEADLY_PART = 'dead'
+CRASH_LIMIT = 5
+"""Crashes that operators allow before a part has to be known."""
+LATE_SENDS = 3
+"""Requests with the part that may reach engines after that."""
+PREFILL_SECONDS = 0.05
+
+
+@dataclass
+class CrashingEngines:
+    """Engines that crash as they begin to write an answer on one part.
+
+    A crashed engine comes back under another name.
+    """
+
+    fleet: Fleet
+    crashes: int = 0
+    sent: int = 0
+
+    async def start(self) -> None:
+        for number in range(ENGINES):
+            await self._add(f'i-{number}')
+
+    async def _add(self, name: str) -> None:
+        await self.fleet.add_engine(name, 'llm', self.serve)
+
+    async def serve(self, asked: ReceivedRequest, writer: Writer) -> None:
+        is_deadly = DEADLY_PART in asked.headers['prompt-prefix']
+        if is_deadly:
+            self.sent += 1
+            writer.write(head_bytes(asked, 200, CHUNKED))
+        await asyncio.sleep(PREFILL_SECONDS)
+        if is_deadly:
+            await self._crash(asked.headers['expect-instance'])
+        else:
+            await stream_events(asked, writer)
+
+    async def _crash(self, name: str) -> None:
+        self.crashes += 1
+        self.fleet.engines[name].crash()
+        self.fleet.store.remove(f'servers/{name}')
+        await self._add(f'{name}-again')
+
+
+async def ask(fleet: Fleet, *parts: str) -> Response:
+    """Send a request whose prompt has these parts, on a new connection."""
+    prefix = ','.join(f'{part}:100' for part in parts)
+    caller = await fleet.connect()
+    return await caller.request(
+        f'/s/{parts[-1]}',
+        f'Prompt-Prefix: {prefix}',
+        f'Token-Counts: {100 * len(parts)},10',
+        request_id=parts[-1],
+    )
+
+
+def test_a_prompt_part_in_ever_new_requests_does_not_crash_all_engines() -> (
+    None
+):
+    async def steps(fleet: Fleet) -> None:
+        engines = CrashingEngines(fleet)
+        await engines.start()
+        for number in range(ROUNDS):
+            sound = await asyncio.gather(
+                ask(fleet, 'system', 'subject', f'a{number}'),
+                ask(fleet, 'system', f'other{number}', f'b{number}'),
+                ask(fleet, 'system', 'subject', DEADLY_PART, f'c{number}'),
+            )
+            if number > CRASH_LIMIT:
+                assert [each.status for each in sound[:2]] == [200, 200]
+        assert engines.crashes <= CRASH_LIMIT
+        assert engines.sent <= CRASH_LIMIT + LATE_SENDS
+
+    run_with_fleet(steps)
