Count crashes of endpoints by the parts of prompts as well

Callers saw engines go down one after the other, and their streams with them, as long as requests with one prompt part came. Cause: crashes were counted by the digest of the whole request. Requests with the part differ in everything else, so that each began with a clean record and crashed as many engines as its attempts allowed. Change: when an engine refuses connections after requests broke there, each shared part of those without an answer is a candidate, over all routers; an answer that begins later clears its parts; a part that different requests sent one after the other could not clear is quarantined. Parts that always come together are tried apart. Why it works: a part on which engines crash can't be cleared, and every other part is cleared by its next answer.

--- a/src/sesamespoke/codec.py
+++ b/src/sesamespoke/codec.py
@@ -16,6 +16,7 @@
 import msgpack
 
 from sesamespoke import (
+    crash_messages,
     ledger_messages,
     membership_messages,
     routing_messages,
@@ -66,6 +67,9 @@
         40: routing_messages.RouterLoads,
         41: routing_messages.EndpointList,
         42: routing_messages.SiteLoads,
+        50: crash_messages.EndpointCrash,
+        51: crash_messages.PartsCleared,
+        52: crash_messages.PartsTrial,
     },
 )
 
--- a/src/sesamespoke/quarantine.py
+++ b/src/sesamespoke/quarantine.py
@@ -54,6 +54,11 @@
         record = self._suspects.get(digest)
         return record.endpoints if record else frozenset()
 
+    def seconds_left(self, digest: bytes) -> float:
+        """Return when the record of a request expires, in seconds."""
+        record = self._suspects.get(digest)
+        return record.expires_at - now() if record else 0
+
     async def begin_trial(self, digest: bytes, endpoint: str) -> bool:
         """Announce a suspect's trial; return whether it runs alone.
 
--- a/src/sesamespoke/routing_messages.py
+++ b/src/sesamespoke/routing_messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from sesamespoke.crash_messages import CrashMessage
+
 EndpointRow = tuple[str, str, str, str, int, bool, int, int]
 
 
@@ -52,4 +54,4 @@
     rows: tuple[EndpointRow, ...]
 
 
-RoutingMessage = RouterLoads | SiteLoads | EndpointList
+RoutingMessage = RouterLoads | SiteLoads | EndpointList | CrashMessage
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -113,7 +113,7 @@
         self.first_byte_timeout: float = math.inf
         self.stall_timeout: float = math.inf
         self.prefix_holder_address = ''
-        self.sent = False
+        self.sent_at: float | None = None
         self.resent = False
         self.on_first_byte: Callable[[], None] = _ignore
         self.first_byte_at: float | None = None
@@ -128,6 +128,11 @@
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
 
+    @property
+    def sent(self) -> bool:
+        """Return whether any byte of the request was sent."""
+        return self.sent_at is not None
+
     async def run(self) -> Attempt:
         """Send the request and return the result.
 
@@ -173,7 +178,8 @@
         if not self.may_send():
             conn.clean = True
             return ENDPOINT_UNAVAILABLE
-        self.sent = True
+        if self.sent_at is None:
+            self.sent_at = self._loop.time()
         conn.send(self._encode())
         times_out_at = self._loop.time() + self.first_byte_timeout
         async with asyncio.timeout_at(times_out_at):
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -12,7 +12,10 @@
 from sesamespoke.request_server import ServerSettings
 from sesamespoke.serving.admission import AdmissionQueue
 from sesamespoke.serving.chooser import Chooser, Reservation
-from sesamespoke.serving.crash_tracker import SharedCrashTracker
+from sesamespoke.serving.crash_tracker import (
+    CrashTrackerDependencies,
+    SharedCrashTracker,
+)
 from sesamespoke.serving.directory import Directory
 from sesamespoke.serving.endpoint_list_sharing import EndpointListSharing
 from sesamespoke.serving.exchange import ExchangeContext, HeaderNames
@@ -94,15 +97,17 @@
         )
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.pool = ConnectionPool(POOL_SETTINGS)
-        suspects = SharedCrashTracker(
-            self.peers, self.metrics, self.timeline, log.info
+        self._crash_tracker = SharedCrashTracker(
+            CrashTrackerDependencies(
+                self.peers, self.metrics, self.timeline, self._clock, log.info
+            )
         )
         serving = ServingDependencies(
             ExchangeContext(self.pool, names),
             self.chooser,
             self._admission_queue,
             self._retry_budget,
-            suspects,
+            self._crash_tracker,
             self.metrics,
             log.info,
         )
@@ -167,6 +172,7 @@
         for task in self._tasks:
             task.cancel()
         await self.server.close()
+        self._crash_tracker.close()
         self.pool.close()
         for page in self.pages:
             page.close()
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -24,6 +24,7 @@
 )
 from sesamespoke.serving.admission import AdmissionQueue
 from sesamespoke.serving.chooser import Chooser, Reservation
+from sesamespoke.serving.directory import ListedEndpoint
 from sesamespoke.serving.exchange import Exchange, ExchangeContext
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.retry_budget import (
@@ -46,6 +47,9 @@
 """A stream has stalled after this multiple of its route's ``max_gap``."""
 MIN_STALL_TIMEOUT = 2.0
 """Lower bound in seconds; callers drop a stream that pauses for longer."""
+PROOF_SECONDS = 0.25
+"""Time for which an answer goes on before it shows that its request does not
+crash endpoints."""
 
 REQUEST_QUARANTINED = Reason(
     'request_quarantined',
@@ -62,17 +66,42 @@
         """Write an event, or count it as dropped."""
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenAttempt:
+    """An attempt whose connection ended without a complete answer.
+
+    ``has_answer`` tells that an answer had begun some time before.
+    """
+
+    job: Job
+    endpoint: ListedEndpoint
+    sent_at: float
+    has_answer: bool
+
+
 class CrashTracker(Protocol):
-    """Tracks which requests have crashed endpoints."""
+    """Tracks which requests crash endpoints, and which prompt parts."""
+
+    def seconds_blocked(self, job: Job) -> float:
+        """Return how long a request must not be sent; 0 if it may be now."""
 
-    def is_refused(self, digest: bytes) -> bool:
-        """Return whether a request is quarantined."""
+    def begin_attempt(self, job: Job) -> bool:
+        """Return whether a request may be sent now, if need be as a trial."""
 
-    def note_crash(self, digest: bytes, endpoint: str) -> None:
-        """Record that an endpoint broke while it was running a request."""
+    def end_attempt(self, job: Job) -> None:
+        """Note that an attempt ended without a crash or an answer."""
 
-    def clear_crashes(self, digest: bytes) -> None:
-        """Drop the crashes of a request that got a complete response."""
+    def note_broken(self, attempt: BrokenAttempt) -> None:
+        """Record a connection that ended while an endpoint ran a request."""
+
+    def is_suspected(self, job: Job) -> bool:
+        """Return whether an answer to this request would clear something."""
+
+    def clear(self, job: Job, begun_at: float) -> None:
+        """Clear a request, since an answer to it began and went on."""
+
+    def note_answered(self, job: Job, begun_at: float) -> None:
+        """Record a complete answer, which began at a time of the clock."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +159,7 @@
         self._placement: dict[str, object] = {}
         self._payment = RetryReservation(deps.retry_budget(job.service))
         self._loop = asyncio.get_running_loop()
+        self._proof: asyncio.TimerHandle | None = None
 
     async def serve(self) -> Answer | Refusal | None:
         """Return the final response, or None if it was relayed in full."""
@@ -141,9 +171,14 @@
         job, progress = self._job, self._progress
         queue = self._deps.admission_queue(job.service)
         while True:
-            if self._deps.crash_tracker.is_refused(job.digest):
+            blocked_for = self._deps.crash_tracker.seconds_blocked(job)
+            if blocked_for:
                 return self._finish(
-                    Refusal(REQUEST_QUARANTINED, Verdict.NOT_RUN)
+                    Refusal(
+                        REQUEST_QUARANTINED,
+                        Verdict.NOT_RUN,
+                        retry_after=blocked_for,
+                    )
                 )
             reservation = await queue.admit(
                 job, self._reserve, is_retry=progress.sends > 0
@@ -188,15 +223,16 @@
         exchange.may_send = lambda: self._may_send(reservation)
         exchange.may_resend = lambda: self._may_resend(reservation)
         exchange.may_fail_over = lambda: self._may_fail_over(reservation)
-        exchange.on_first_byte = lambda: deps.chooser.loads.end_prefill(
-            reservation.in_flight
-        )
+        exchange.on_first_byte = lambda: self._note_first_byte(reservation)
         try:
             attempt = await exchange.run()
         except asyncio.CancelledError:
+            deps.crash_tracker.end_attempt(job)
             self._log_end('caller_left', None)
             raise
         finally:
+            if self._proof is not None:
+                self._proof.cancel()
             deps.chooser.release(reservation)
             deps.admission_queue(job.service).schedule_soon()
         self._record_attempt(reservation, exchange, attempt)
@@ -209,9 +245,24 @@
         """Return whether the request may be sent to the endpoint now."""
         if not self._deps.chooser.is_usable(reservation):
             return False
+        if not self._deps.crash_tracker.begin_attempt(self._job):
+            return False
         self._payment.record_sent()
         return True
 
+    def _note_first_byte(self, reservation: Reservation) -> None:
+        """Take the prompt as read, and what it is suspected of as cleared.
+
+        An endpoint may crash just after it has begun to write, so that an
+        answer clears a request only after ``PROOF_SECONDS``.
+        """
+        self._deps.chooser.loads.end_prefill(reservation.in_flight)
+        tracker, job = self._deps.crash_tracker, self._job
+        if tracker.is_suspected(job):
+            self._proof = self._loop.call_later(
+                PROOF_SECONDS, tracker.clear, job, self._loop.time()
+            )
+
     def _may_resend(self, reservation: Reservation) -> bool:
         """Return whether the request may be sent to the endpoint again."""
         left = self._job.deadline - self._loop.time()
@@ -299,10 +350,7 @@
                 request_id=self._job.request_id,
                 why=attempt.detail,
             )
-        if attempt.broke and exchange.sent:
-            deps.crash_tracker.note_crash(self._job.digest, endpoint.name)
-        elif attempt.verdict is Verdict.RAN:
-            deps.crash_tracker.clear_crashes(self._job.digest)
+        self._track_crash(endpoint, exchange, attempt)
         deps.metrics.count(
             'attempts',
             service=self._job.service,
@@ -318,6 +366,31 @@
                 **self._payment.standing(),
             )
 
+    def _track_crash(
+        self,
+        endpoint: ListedEndpoint,
+        exchange: Exchange,
+        attempt: Attempt,
+    ) -> None:
+        """Record whether the endpoint crashed on the request."""
+        tracker, job, now = (
+            self._deps.crash_tracker,
+            self._job,
+            self._loop.time(),
+        )
+        begun_at = exchange.first_byte_at
+        if attempt.broke and exchange.sent_at is not None:
+            has_answer = begun_at is not None and (
+                now - begun_at > PROOF_SECONDS
+            )
+            tracker.note_broken(
+                BrokenAttempt(job, endpoint, exchange.sent_at, has_answer)
+            )
+        elif attempt.verdict is Verdict.RAN:
+            tracker.note_answered(job, now if begun_at is None else begun_at)
+        else:
+            tracker.end_attempt(job)
+
     def _log_failure(
         self,
         reservation: Reservation,
