Keep the quarantine in the store, for routers that start

What callers would see: after a restart of all routers, requests that crash engines are sent again, and the fleet learns anew at the cost of more engines. Cause: what crashes engines was known to running routers only. Change: two hosts, and the one that found a request, write each quarantined part and request under the longest lease, renew it while it holds, and remove it when it is released; a router reads them when it starts.

--- a/src/sesamespoke/quarantine.py
+++ b/src/sesamespoke/quarantine.py
@@ -101,6 +101,12 @@
         self._tell_if_refused(digest, record, len(known))
         self._broadcast(digest, record)
 
+    def restore(self, digest: bytes, crashes: frozenset[str]) -> None:
+        """Take over a record of crashes that another process has kept."""
+        record = self._suspects.open(digest)
+        record.expires_at = now() + EXPIRY_SECONDS
+        record.endpoints |= crashes
+
     def release(self, digest: bytes) -> bool:
         """Forget a digest everywhere; return whether it was on record.
 
@@ -114,6 +120,14 @@
         self._broadcast(digest, Record(0))
         return True
 
+    def digests(self, crashes: int) -> tuple[bytes, ...]:
+        """Return the requests that crashed so many endpoints or more."""
+        return tuple(
+            digest
+            for digest, record in self._suspects.items()
+            if len(record.endpoints) >= crashes and record.expires_at > now()
+        )
+
     def entries(self) -> tuple[QuarantineEntry, ...]:
         """Return every digest on record."""
         return self._suspects.entries()
--- a/src/sesamespoke/serving/crash_evidence.py
+++ b/src/sesamespoke/serving/crash_evidence.py
@@ -88,14 +88,15 @@
 class _Quarantined:
     """When a part was quarantined, tried, and last asked for.
 
-    ``recorded`` parts are known from another process, without its evidence.
+    ``is_proven`` is set for a part that was read from a record, without the
+    evidence.
     """
 
     since: float
     asked_at: float
     tried_at: float = -math.inf
     trials: int = 0
-    recorded: bool = False
+    is_proven: bool | None = None
 
 
 class CrashEvidence:
@@ -182,11 +183,12 @@
         while len(self._answered) > MAX_ANSWERED_PARTS:
             del self._answered[next(iter(self._answered))]
 
-    def restore(self, part: str) -> None:
+    def restore(self, part: str, *, is_proven: bool) -> None:
         """Quarantine a part that another process has recorded."""
         if part not in self._quarantined:
             now = self._clock()
-            self._quarantined[part] = _Quarantined(now, now, recorded=True)
+            state = _Quarantined(now, now, is_proven=is_proven)
+            self._quarantined[part] = state
             self._update_suspects()
 
     def seconds_blocked(self, parts: Iterable[str]) -> float:
@@ -226,12 +228,11 @@
         A part that was answered before explains them less well.
         """
         state = self._quarantined.get(part)
-        if state is not None and state.recorded:
-            return True
         found = (crash.candidates() for crash in self._crashes.values())
-        common = frozenset.intersection(
-            *(candidates for candidates in found if part in candidates)
-        )
+        explained = [candidates for candidates in found if part in candidates]
+        if not explained or (state is not None and state.is_proven):
+            return state is not None and bool(state.is_proven)
+        common = frozenset.intersection(*explained)
         rivals = common - {part, ''}
         if part not in self._answered:
             rivals -= self._answered.keys()
--- a/src/sesamespoke/serving/crash_tracker.py
+++ b/src/sesamespoke/serving/crash_tracker.py
@@ -27,7 +27,14 @@
 from sesamespoke.serving.directory import ListedEndpoint
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.peer_loads import Broadcaster
+from sesamespoke.serving.quarantine_records import (
+    PartRecord,
+    QuarantineRecords,
+    Record,
+    RequestRecord,
+)
 from sesamespoke.serving.serving_call import BrokenAttempt, Log
+from sesamespoke.store import KeyStore
 from sesamespoke.timeline import Timeline
 
 CRASHES_TO_REFUSE = 3
@@ -46,6 +53,7 @@
     timeline: Timeline
     clock: Callable[[], float]
     log: Log
+    store: KeyStore
     is_refusing: IsRefusing = refuses_connections
 
 
@@ -63,6 +71,11 @@
         self._detector = CrashDetector(self._note_crash, deps.is_refusing)
         self._trials: dict[str, tuple[str, ...]] = {}
         self._count = 0
+        self._records = QuarantineRecords(
+            deps.store, deps.links, self._current_records, deps.log
+        )
+        self._records.on_record = self._restore
+        self.keep_records = self._records.run
         self.close = self._detector.close
         deps.links.subscribe(EndpointCrash, self._hear_crash)
         deps.links.subscribe(PartsCleared, self._hear_cleared)
@@ -106,12 +119,15 @@
         # Repeated crashes of one endpoint count separately.
         marks = (endpoint.name, self._links.host, str(self._count))
         self._quarantine.note_crash(job.digest, ' '.join(marks))
+        crashes = len(self._quarantine.crashed(job.digest))
         self._log(
             'crash_recorded',
             digest=job.digest.hex(),
             endpoint=endpoint.name,
-            crashes=len(self._quarantine.crashed(job.digest)),
+            crashes=crashes,
         )
+        if crashes >= CRASHES_TO_REFUSE:
+            self._records.update(found_here=RequestRecord(job.digest))
         if not attempt.has_answer:
             self._detector.note_broken(
                 endpoint,
@@ -137,6 +153,7 @@
         self.clear(job, begun_at)
         self._evidence.note_answered(_shared_parts(job))
         if self._quarantine.release(job.digest):
+            self._records.remove(RequestRecord(job.digest))
             self._metrics.count('crashes_cleared')
             self._log('crashes_cleared', digest=job.digest.hex())
 
@@ -164,6 +181,7 @@
                 endpoint=crash.name,
                 proven=self._evidence.is_proven(part),
             )
+        self._records.update()
 
     def _clear(
         self, digest: bytes, parts: Iterable[str], begun_at: float
@@ -171,6 +189,28 @@
         for part in self._evidence.clear(digest, parts, begun_at):
             self._metrics.count('parts_released')
             self._log('part_released', part=part)
+            self._records.remove(PartRecord(part, proven=False))
+        self._records.update()
+
+    def _current_records(self) -> list[Record]:
+        parts = (
+            PartRecord(part, self._evidence.is_proven(part))
+            for part in self._evidence.quarantined
+        )
+        requests = (
+            RequestRecord(digest)
+            for digest in self._quarantine.digests(CRASHES_TO_REFUSE)
+        )
+        return [*parts, *requests]
+
+    def _restore(self, record: Record) -> None:
+        if isinstance(record, PartRecord):
+            self._evidence.restore(record.part, is_proven=record.proven)
+        else:
+            marks = (
+                f'recorded {number}' for number in range(CRASHES_TO_REFUSE)
+            )
+            self._quarantine.restore(record.digest, frozenset(marks))
 
     def _describe(self, crash: Crash) -> EndpointCrash:
         now = self._clock()
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -99,7 +99,12 @@
         self.pool = ConnectionPool(POOL_SETTINGS)
         self._crash_tracker = SharedCrashTracker(
             CrashTrackerDependencies(
-                self.peers, self.metrics, self.timeline, self._clock, log.info
+                self.peers,
+                self.metrics,
+                self.timeline,
+                self._clock,
+                log.info,
+                feeds.store,
             )
         )
         serving = ServingDependencies(
@@ -164,6 +169,7 @@
             *self.platform_sync.start_tasks(),
             *self._loads.start_tasks(),
             asyncio.create_task(self.pressure.run()),
+            asyncio.create_task(self._crash_tracker.keep_records()),
         ]
         log.info('started', host=self.cfg.host, zone=self.cfg.data_centre)
         await self.stop.run(self.server.stop_accepting, self._close)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from itertools import count
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from support_serving_jobs import Clock
@@ -167,9 +168,17 @@
     assert not scenario.crash(['dead'])
 
 
-def test_recorded_part_is_quarantined_without_evidence() -> None:
+@pytest.mark.parametrize('is_proven', [True, False])
+def test_recorded_part_is_quarantined_without_evidence(
+    is_proven: bool,
+) -> None:
     scenario = Scenario()
-    scenario.evidence.restore('dead')
+    scenario.evidence.restore('dead', is_proven=is_proven)
+    if not is_proven:
+        scenario.evidence.restore('subject', is_proven=False)
+        assert not scenario.blocked('dead')
+        assert scenario.blocked('subject', 'dead') == JOINT_TRIAL_SECONDS
+        return
     assert scenario.blocked('dead') == PROVEN_TRIAL_SECONDS
     assert scenario.answer('dead') == {'dead'}
     assert not scenario.blocked('dead')
--- a/tests/test_crash_tracker_model.py
+++ b/tests/test_crash_tracker_model.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from support_serving_jobs import job_of
+from support_store import FakeStore
 from test_quarantine import run_virtual
 
 from sesamespoke.links import Handler, Member, MessageT, View
@@ -142,6 +143,7 @@
                 Timeline(links.host, 'north'),
                 self.loop.time,
                 lambda event, /, **fields: None,
+                FakeStore(),
                 self.is_refusing,
             )
         )
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+import pytest
 from support_platform import (
     CHUNKED,
     ReceivedRequest,
@@ -10,8 +11,9 @@
     head_bytes,
     stream_events,
 )
-from support_routed import Fleet, Response, run_with_fleet
+from support_routed import Fleet, Response, run_with_fleet, wait_until
 
+RECORD_PREFIX = 'sesamespoke/quarantine/'
 ENGINES = 6
 ROUNDS = 12
 DEADLY_PART = 'dead'
@@ -53,7 +55,7 @@
 
     async def _crash(self, name: str) -> None:
         self.crashes += 1
-        self.fleet.engines[name].crash()
+        self.fleet.engines.pop(name).crash()
         self.fleet.store.remove(f'servers/{name}')
         await self._add(f'{name}-again')
 
@@ -88,3 +90,33 @@
         assert engines.sent <= CRASH_LIMIT + LATE_SENDS
 
     run_with_fleet(steps)
+
+
+@pytest.mark.parametrize('same_request', [False, True])
+def test_restart_of_all_routers_does_not_forget_what_crashes_engines(
+    same_request: bool,
+) -> None:
+    async def send_deadly(fleet: Fleet, number: int) -> Response:
+        own = 'same' if same_request else f'c{number}'
+        return await ask(fleet, 'system', DEADLY_PART, own)
+
+    async def steps(fleet: Fleet) -> None:
+        engines = CrashingEngines(fleet)
+        await engines.start()
+        await ask(fleet, 'system', 'other', 'a')
+        for number in range(ROUNDS):
+            await send_deadly(fleet, number)
+        assert (await send_deadly(fleet, ROUNDS)).status == 503
+        await wait_until(
+            lambda: any(
+                key.startswith(RECORD_PREFIX) for key in fleet.store.items
+            )
+        )
+        sent = engines.sent
+        await fleet.restart()
+        for number in range(ROUNDS, 2 * ROUNDS):
+            assert (await send_deadly(fleet, number)).status == 503
+        assert engines.sent == sent
+        assert (await ask(fleet, 'system', 'other', 'b')).status == 200
+
+    run_with_fleet(steps)
