Cut off bodies that are endless comments, tiny chunks or trailers

What callers saw: a request whose engine sends what is no answer without end waited until its deadline, and the router read and parsed all of it. Cause: only payload was bounded. Trailers and the framing of tiny chunks are no payload; comments and empty events are dropped before any bound. Change: a body may have 64 KiB of framing beyond as many bytes as payload; a stream may have 2 MiB without an event with data. Both ways of the product.

--- a/src/sesamespoke/events.py
+++ b/src/sesamespoke/events.py
@@ -9,6 +9,8 @@
 EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
 LAST_EVENT = b'data: [DONE]'
 MAX_EVENT_BYTES = 1_048_576
+MAX_BYTES_WITHOUT_DATA = 2 * MAX_EVENT_BYTES
+"""Limit of comments and empty events between two events with data."""
 BYTES_PER_TOKEN = 4
 ID_LINE = re.compile(rb'^id: ?(.+?)\r?$', re.MULTILINE)
 USAGE_FIELD = b'"usage"'
@@ -23,6 +25,7 @@
         self.count = 0
         self.ended = False
         self._held = b''
+        self._bytes_without_data = 0
         self._resumed_after = b''
         self._with_id = b''
         self._latest = b''
@@ -46,8 +49,15 @@
 
     @property
     def overflowing(self) -> bool:
-        """Return whether one event is longer than is kept in memory."""
-        return len(self._held) > MAX_EVENT_BYTES
+        """Return whether what came cannot be a stream of events.
+
+        An event is longer than is kept in memory, or there is no end of
+        comments.
+        """
+        return (
+            len(self._held) > MAX_EVENT_BYTES
+            or self._bytes_without_data > MAX_BYTES_WITHOUT_DATA
+        )
 
     @property
     def holds_part(self) -> bool:
@@ -63,6 +73,7 @@
     def restart(self) -> None:
         """Forget a cut event, before the stream is begun or resumed."""
         self._held = b''
+        self._bytes_without_data = 0
         self._resumed_after = self.last_id
 
     def follows(self, events: bytes) -> bool:
@@ -82,7 +93,11 @@
         return Usage(prompt_bytes // BYTES_PER_TOKEN, self.count)
 
     def _remember(self, events: bytes) -> None:
-        self.count += events.count(b'data:')
+        count = events.count(DATA_FIELD)
+        self._bytes_without_data = (
+            0 if count else self._bytes_without_data + len(events)
+        )
+        self.count += count
         if b'id:' in events:
             self._with_id = events
         self._before = self._latest
--- a/src/sesamespoke/framing.py
+++ b/src/sesamespoke/framing.py
@@ -18,6 +18,9 @@
 
 MAX_HEAD_BYTES = 65_536
 MAX_SIZE_LINE_BYTES = 64
+MAX_OVERHEAD_BYTES = 65_536
+"""Framing that a body may have beyond as many bytes as its payload. Tiny chunks
+and endless trailers take long to read."""
 HEX = 16
 CRLF = b'\r\n'
 BODILESS_STATUSES = frozenset((204, 304))
@@ -93,6 +96,7 @@
         """
         self.rest = b''
         self.unframed = False
+        self._overhead_bytes = 0
         self._chunked = _is_chunked(head)
         self._left = head.length or 0
         bodiless = method == 'HEAD' or head.status in BODILESS_STATUSES
@@ -123,6 +127,14 @@
 
     def feed(self, content: bytes) -> bytes:
         """Return the payload in the next bytes of the connection."""
+        unread = len(self.rest) + len(content)
+        payload = self._read_payload(content)
+        self._overhead_bytes += unread - len(self.rest) - 2 * len(payload)
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            raise FramingError('the body is mostly framing')
+        return payload
+
+    def _read_payload(self, content: bytes) -> bytes:
         if self._part is Part.SIZE and not self.rest:
             payload_of_one = _read_one_chunk(content)
             if payload_of_one:
--- a/src/sesamespoke/relaying.py
+++ b/src/sesamespoke/relaying.py
@@ -140,13 +140,13 @@
             prepared = True
         goes_on = reply.send(events)
         meter_some()
-        return goes_on and not relay.ended
+        return goes_on and not (relay.ended or relay.overflowing)
 
     while not (relay.ended or source.body.finished):
         await source.pump(take)
         await reply.drain()
         if relay.overflowing:
-            raise Failure(BAD_ANSWER, 'an event is too long')
+            raise Failure(BAD_ANSWER, 'the stream is no stream of events')
     if not relay.ended:
         raise Failure(ENDPOINT_FAILED, 'the stream is cut')
     return Attempt(
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -285,7 +285,7 @@
                 _end_by_close(conn, body)
             await self._reply.drain()
             if self._relay.overflowing:
-                raise Failure(BAD_ANSWER, 'an event is too long')
+                raise Failure(BAD_ANSWER, 'the stream is no stream of events')
         if self._relay.holds_part:
             raise Failure(BAD_ANSWER, 'the last event is incomplete')
         if not self._reply.started:
@@ -327,18 +327,19 @@
 
         def relay(content: bytes) -> bool:
             events = feed_relay(feed_body(content))
+            goes_on = not (self._relay.overflowing or body.finished)
             if not events:
-                return not (self._relay.overflowing or body.finished)
+                return goes_on
             is_first = self.first_byte_at is None
             if has_data(events):
                 conn.mark_progress()
             elif is_first:
                 # A reply started by a comment alone could not be resumed.
-                return not body.finished
+                return goes_on
             if is_first:
                 self._start_events(head, events)
             # Stop after the first event: the next pump uses the stall timeout.
-            return reply.send(events) and not (is_first or body.finished)
+            return reply.send(events) and goes_on and not is_first
 
         return relay
 
--- a/tests/test_exchange_cuts.py
+++ b/tests/test_exchange_cuts.py
@@ -227,6 +227,38 @@
             await writer.drain()
 
 
+ENDLESS = {
+    'comments': chunk(b': still here\n\n'),
+    'tiny chunks': chunk(b'i'),
+    'no chunks': b'\xff' * 1024,
+    'trailers': b'0\r\n' + b'X-More: of the same\r\n' * 40_000,
+}
+
+
+@pytest.mark.parametrize('kind', ENDLESS)
+def test_endless_bytes_in_a_stream_are_cut_off(kind: str) -> None:
+    block = ENDLESS[kind]
+    block *= 1 + 16_384 // len(block)
+
+    async def never_end_stream(
+        got: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(stream_head(got))
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(block)
+                await writer.drain()
+
+    async def scenario() -> None:
+        async with open_path(never_end_stream, deadline=20) as path:
+            async with asyncio.timeout(5):
+                told = await ask_told(path, chat_bytes(stream=True))
+            assert b'[DONE]' not in told.body
+            assert path.slots.endings[0][1].outcome is Outcome.BROKEN
+
+    run(scenario())
+
+
 async def read_only(got: Received, writer: asyncio.StreamWriter) -> None:
     await asyncio.sleep(5)
 
