Take a stream that a closed connection ends without an event for cut

What callers saw: an engine that crashed before its first event, on an answer without length or chunks, gave them an empty stream that looked complete; one that ended inside an event was a bad answer and no break. Cause: an orderly close ends a body that has no other framing, whatever came. Change: such a stream that ends before an event, and any stream that ends inside one, has been broken off: it is resumed elsewhere, and counts as broken.

--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -286,12 +286,16 @@
             await self._reply.drain()
             if self._relay.overflowing:
                 raise Failure(BAD_ANSWER, 'the stream is no stream of events')
-        if self._relay.holds_part:
-            raise Failure(BAD_ANSWER, 'the last event is incomplete')
+        if self._relay.holds_part or self._ends_before_an_event(body):
+            raise Failure(ENDPOINT_FAILED, 'the answer is cut', broke=True)
         if not self._reply.started:
             self._start_reply(head)
         return Attempt(Verdict.RAN, Outcome.DONE, passed_on=True)
 
+    def _ends_before_an_event(self, body: BodyReader) -> bool:
+        """Return whether only a closed connection ended an empty stream."""
+        return body.unframed and self.first_byte_at is None
+
     async def _pump(self, conn: Connection, sink: Sink) -> bool:
         """Relay events until the sink stops; return whether more can come.
 
