Take a recorded part without rivals for proven

What callers would see: after a restart of all routers, a deadly part was tried again twice although the part that had come with it was cleared. Cause: a record says only whether its part was proven when it was written; without the evidence the part stayed unproven for ever. Change: a recorded part is proven once no other part that was recorded without a proof is quarantined. Test: test_recorded_parts_without_a_proof_are_tried_apart failed before.

--- a/src/sesamespoke/serving/crash_evidence.py
+++ b/src/sesamespoke/serving/crash_evidence.py
@@ -228,16 +228,25 @@
         A part that was answered before explains them less well.
         """
         state = self._quarantined.get(part)
+        if state is not None and state.is_proven:
+            return True
         found = (crash.candidates() for crash in self._crashes.values())
         explained = [candidates for candidates in found if part in candidates]
-        if not explained or (state is not None and state.is_proven):
-            return state is not None and bool(state.is_proven)
+        if not explained:
+            return not self._has_recorded_rival(part)
         common = frozenset.intersection(*explained)
         rivals = common - {part, ''}
         if part not in self._answered:
             rivals -= self._answered.keys()
         return not rivals
 
+    def _has_recorded_rival(self, part: str) -> bool:
+        """Return whether another part was recorded without a proof."""
+        return any(
+            name != part and state.is_proven is False
+            for name, state in self._quarantined.items()
+        )
+
     def _update_suspects(self) -> None:
         """Drop the crashes without a candidate, and index the others."""
         self._crashes = {
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 from itertools import count
 
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from support_serving_jobs import Clock
@@ -168,22 +167,24 @@
     assert not scenario.crash(['dead'])
 
 
-@pytest.mark.parametrize('is_proven', [True, False])
-def test_recorded_part_is_quarantined_without_evidence(
-    is_proven: bool,
-) -> None:
+def test_recorded_part_is_quarantined_without_evidence() -> None:
     scenario = Scenario()
-    scenario.evidence.restore('dead', is_proven=is_proven)
-    if not is_proven:
-        scenario.evidence.restore('subject', is_proven=False)
-        assert not scenario.blocked('dead')
-        assert scenario.blocked('subject', 'dead') == JOINT_TRIAL_SECONDS
-        return
+    scenario.evidence.restore('dead', is_proven=True)
     assert scenario.blocked('dead') == PROVEN_TRIAL_SECONDS
     assert scenario.answer('dead') == {'dead'}
     assert not scenario.blocked('dead')
 
 
+def test_recorded_parts_without_a_proof_are_tried_apart() -> None:
+    scenario = Scenario()
+    for part in ('subject', 'dead'):
+        scenario.evidence.restore(part, is_proven=False)
+    assert scenario.blocked('subject', 'dead') == JOINT_TRIAL_SECONDS
+    assert not scenario.blocked('subject')
+    assert scenario.answer('subject') == {'subject'}
+    assert scenario.blocked('dead') > JOINT_TRIAL_SECONDS
+
+
 def test_evidence_is_bounded() -> None:
     scenario = Scenario()
     for number in range(2 * MAX_CRASHES):
