Count crashes by shared messages in chat completions too

What callers would see: as with routed services, engines crash without end on a message that ever new chat-completions requests share. Cause: the same one, found by looking for it elsewhere: the quarantine of this interface knows digests of whole requests only. Change: the evidence, its detector and its messages are a part of their own (part_quarantine), which both interfaces use; each message but the last one of a prompt is a part. Reports on one endpoint within a second are one crash, since its incarnation isn't known here.

--- a/src/sesamespoke/call_parts.py
+++ b/src/sesamespoke/call_parts.py
@@ -7,6 +7,7 @@
 from sesamespoke.answers import Answer
 from sesamespoke.endpoint_connections import ConnectionPool
 from sesamespoke.metrics import Metrics
+from sesamespoke.part_quarantine import PartQuarantine
 from sesamespoke.quarantine import Quarantine
 from sesamespoke.queues import SlotSource
 from sesamespoke.retries import RetryBudget
@@ -43,5 +44,6 @@
     metrics: Metrics
     timeline: Timeline
     quarantine: Quarantine | None = None
+    part_quarantine: PartQuarantine | None = None
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     budget: RetryBudget = field(default_factory=RetryBudget)
--- a/src/sesamespoke/calls.py
+++ b/src/sesamespoke/calls.py
@@ -6,14 +6,18 @@
 import asyncio
 import contextlib
 from dataclasses import replace
+from types import MappingProxyType
+from urllib.parse import urlsplit
 
 from sesamespoke.answers import Answer, marked
 from sesamespoke.attempts import Attempt, Reply, Target
 from sesamespoke.call_parts import CallParts, Claim
+from sesamespoke.crash_detector import ServedEndpoint
 from sesamespoke.events import EventRelay
 from sesamespoke.exchange import Exchange
 from sesamespoke.intake import Accepted
 from sesamespoke.limits import Outcome, SlotUse
+from sesamespoke.part_quarantine import PROOF_SECONDS, PartUse
 from sesamespoke.quarantine import Quarantine
 from sesamespoke.retries import (
     RetryContext,
@@ -29,11 +33,13 @@
     Refusal,
     Verdict,
 )
-from sesamespoke.work import Slot
+from sesamespoke.work import Slot, Work
 
 RETRY_AFTER_SECONDS = 1.0
 MAX_RESUMES = 3
 RESUME_PAUSE_SECONDS = 0.02
+MS_PER_SECOND = 1000
+DEFAULT_PORTS = MappingProxyType({'http': 80, 'https': 443})
 
 
 class AcceptedCall:
@@ -54,6 +60,7 @@
         self._chooser = SlotChooser(parts, accepted.work)
         self._answer: Answer | None = None
         self._claim: Claim | None = None
+        self._sent_at: float = 0
         self.verdict = Verdict.NOT_RUN
 
     async def serve(self) -> Answer | Refusal | None:
@@ -111,7 +118,7 @@
                 step = self._follow(attempt)
                 broke = attempt.broke or (broke and not attempt.passed_on)
             stack.pop_all()
-        self._note(chosen.slot, replace(attempt, broke=broke))
+        self._note(chosen, replace(attempt, broke=broke))
         return attempt, step
 
     def _exchange(self, chosen: ChosenSlot) -> Exchange:
@@ -131,10 +138,20 @@
             name,
             chosen.url,
             self._relay,
-            self._may_send,
+            self._begin_attempt,
             self._may_resend,
         )
 
+    def _begin_attempt(self) -> bool:
+        """Return whether the request may be sent to the endpoint now."""
+        if not self._may_send():
+            return False
+        self._sent_at = asyncio.get_running_loop().time()
+        quarantine = self._parts.part_quarantine
+        return quarantine is None or quarantine.begin_attempt(
+            _use_of(self._work)
+        )
+
     def _may_send(self) -> bool:
         """Return whether there is time, and a claim where one is needed."""
         now = asyncio.get_running_loop().time()
@@ -157,9 +174,12 @@
         self._parts.slots.release(slot, ending)
         if self._parts.quarantine is not None:
             self._parts.quarantine.end_trial(self._work.digest)
+        if self._parts.part_quarantine is not None:
+            self._parts.part_quarantine.end_attempt(_use_of(self._work))
 
-    def _note(self, slot: Slot, attempt: Attempt) -> None:
+    def _note(self, chosen: ChosenSlot, attempt: Attempt) -> None:
         """Give the slot back and tell how the endpoint bore the request."""
+        slot = chosen.slot
         ending = SlotUse(
             attempt.outcome,
             attempt.first_token_ms,
@@ -174,6 +194,7 @@
         quarantine = self._parts.quarantine
         if quarantine is not None:
             _judge(quarantine, self._work.digest, slot, attempt)
+        self._judge_parts(chosen, attempt)
         if attempt.broke:
             self._parts.timeline.record(
                 'connection_broke',
@@ -182,6 +203,27 @@
                 detail=attempt.detail,
             )
 
+    def _judge_parts(self, chosen: ChosenSlot, attempt: Attempt) -> None:
+        """Note how the endpoint bore the parts of the prompt."""
+        quarantine = self._parts.part_quarantine
+        if quarantine is None:
+            return
+        use = _use_of(self._work)
+        begun_at = self._sent_at + attempt.first_token_ms / MS_PER_SECOND
+        has_begun = attempt.first_token_ms >= 0
+        if attempt.broke:
+            now = asyncio.get_running_loop().time()
+            quarantine.note_broken(
+                use,
+                _served(chosen),
+                self._sent_at,
+                has_answer=has_begun and now - begun_at > PROOF_SECONDS,
+            )
+        elif attempt.verdict is Verdict.RAN:
+            quarantine.note_answered(use, begun_at)
+        else:
+            quarantine.end_attempt(use)
+
     def _time_left(self) -> float:
         """Return the seconds left; a stream that has begun has no end."""
         if self._reply.started:
@@ -215,6 +257,16 @@
         return Refusal(reason, self.verdict, attempt.detail, retry_after)
 
 
+def _use_of(work: Work) -> PartUse:
+    return PartUse(work.request_id, work.digest, work.shared_parts)
+
+
+def _served(chosen: ChosenSlot) -> ServedEndpoint:
+    url = urlsplit(chosen.url)
+    port = url.port or DEFAULT_PORTS[url.scheme]
+    return ServedEndpoint(chosen.slot.endpoint_name, f'{url.hostname}:{port}')
+
+
 def _judge(
     quarantine: Quarantine,
     digest: bytes,
--- a/src/sesamespoke/serving/crash_detector.py
+++ b/src/sesamespoke/crash_detector.py
@@ -8,17 +8,29 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from dataclasses import dataclass
 
+from sesamespoke.crash_evidence import BrokenRequest
 from sesamespoke.loop_timeout import loop_timeout
-from sesamespoke.serving.crash_evidence import BrokenRequest
-from sesamespoke.serving.directory import ListedEndpoint
 
 COLLECT_SECONDS = 0.02
 """Time within which the connections to a crashed endpoint all break."""
 CONNECT_SECONDS = 0.4
 
+
+@dataclass(frozen=True, slots=True)
+class ServedEndpoint:
+    """An endpoint; ``name`` identifies its incarnation where one is known.
+
+    ``address`` is ``IP:PORT``.
+    """
+
+    name: str
+    address: str
+
+
 IsRefusing = Callable[[str], Awaitable[bool]]
-OnCrash = Callable[[ListedEndpoint, tuple[BrokenRequest, ...]], None]
+OnCrash = Callable[[ServedEndpoint, tuple[BrokenRequest, ...]], None]
 
 
 async def refuses_connections(address: str) -> bool:
@@ -48,11 +60,11 @@
         """Call ``on_crash`` with the requests that broke at a crash."""
         self._on_crash = on_crash
         self._is_refusing = is_refusing
-        self._broken: dict[ListedEndpoint, list[BrokenRequest]] = {}
+        self._broken: dict[ServedEndpoint, list[BrokenRequest]] = {}
         self._checks: set[asyncio.Task[None]] = set()
 
     def note_broken(
-        self, endpoint: ListedEndpoint, request: BrokenRequest
+        self, endpoint: ServedEndpoint, request: BrokenRequest
     ) -> None:
         """Check the endpoint soon, together with what breaks until then."""
         broken = self._broken.get(endpoint)
@@ -69,7 +81,7 @@
         for check in self._checks:
             check.cancel()
 
-    async def _check(self, endpoint: ListedEndpoint) -> None:
+    async def _check(self, endpoint: ServedEndpoint) -> None:
         await asyncio.sleep(COLLECT_SECONDS)
         is_refusing = await self._is_refusing(endpoint.address)
         broken = self._broken.pop(endpoint)
--- a/src/sesamespoke/serving/crash_evidence.py
+++ b/src/sesamespoke/crash_evidence.py
@@ -33,6 +33,8 @@
 """Wait before a part that alone explains its crashes is tried again."""
 EXPIRY_SECONDS = 600.0
 """A crash counts until no request with its candidates has come for so long."""
+MERGE_SECONDS = 1.0
+"""Reports on an endpoint within this time are about the same crash."""
 MAX_CRASHES = 256
 MAX_ANSWERED_PARTS = 20_000
 MAX_DOUBLINGS = 10
@@ -52,7 +54,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """One crash of an endpoint, and the requests that may be its cause."""
+    """One crash of an endpoint, and the requests that may be its cause.
+
+    ``name`` identifies the endpoint.
+    """
 
     name: str
     happened_at: float
@@ -61,6 +66,7 @@
 
 @dataclass(slots=True)
 class _OpenCrash:
+    name: str
     happened_at: float
     requests: dict[bytes, BrokenRequest]
 
@@ -105,7 +111,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         """Start without any crash."""
         self._clock = clock
-        self._crashes: dict[str, _OpenCrash] = {}
+        self._crashes: list[_OpenCrash] = []
         self._quarantined: dict[str, _Quarantined] = {}
         self._answered: dict[str, None] = {}
         self._cleared_at: dict[str | bytes, float] = {}
@@ -119,8 +125,8 @@
     def crashes(self) -> tuple[Crash, ...]:
         """Return the crashes, with the requests that are not cleared."""
         return tuple(
-            Crash(name, crash.happened_at, tuple(crash.requests.values()))
-            for name, crash in self._crashes.items()
+            Crash(crash.name, crash.happened_at, tuple(crash.requests.values()))
+            for crash in self._crashes
         )
 
     def is_suspected(self, digest: bytes, parts: Iterable[str]) -> bool:
@@ -135,9 +141,7 @@
         Several routers add to the same crash.
         """
         self._expire()
-        known = self._crashes.setdefault(
-            crash.name, _OpenCrash(crash.happened_at, {})
-        )
+        known = self._find_or_open(crash)
         for request in crash.requests:
             if not self._is_cleared(request.digest, known.happened_at):
                 known.requests[request.digest] = replace(
@@ -158,7 +162,7 @@
         self._note_cleared(digest, begun_at)
         for part in cleared:
             self._note_cleared(part, begun_at)
-        for crash in self._crashes.values():
+        for crash in self._crashes:
             if crash.happened_at < begun_at:
                 crash.remove(digest, cleared)
         released = frozenset(
@@ -230,7 +234,7 @@
         state = self._quarantined.get(part)
         if state is not None and state.is_proven:
             return True
-        found = (crash.candidates() for crash in self._crashes.values())
+        found = (crash.candidates() for crash in self._crashes)
         explained = [candidates for candidates in found if part in candidates]
         if not explained:
             return not self._has_recorded_rival(part)
@@ -247,15 +251,22 @@
             for name, state in self._quarantined.items()
         )
 
+    def _find_or_open(self, crash: Crash) -> _OpenCrash:
+        for known in self._crashes:
+            apart = abs(known.happened_at - crash.happened_at)
+            if known.name == crash.name and apart <= MERGE_SECONDS:
+                return known
+        opened = _OpenCrash(crash.name, crash.happened_at, {})
+        self._crashes.append(opened)
+        return opened
+
     def _update_suspects(self) -> None:
         """Drop the crashes without a candidate, and index the others."""
-        self._crashes = {
-            name: crash
-            for name, crash in self._crashes.items()
-            if crash.candidates() - {''}
-        }
-        digests = (crash.requests.keys() for crash in self._crashes.values())
-        parts = (crash.candidates() for crash in self._crashes.values())
+        self._crashes = [
+            crash for crash in self._crashes if crash.candidates() - {''}
+        ]
+        digests = (crash.requests.keys() for crash in self._crashes)
+        parts = (crash.candidates() for crash in self._crashes)
         self._suspects = frozenset().union(self._quarantined, *digests, *parts)
 
     def _quarantine(self, parts: Iterable[str]) -> frozenset[str]:
@@ -286,7 +297,7 @@
         """
         counted: set[bytes] = set()
         last_at = -math.inf
-        for crash in sorted(self._crashes.values(), key=_happened_at):
+        for crash in sorted(self._crashes, key=_happened_at):
             digests = {
                 request.digest
                 for request in crash.requests.values()
@@ -329,15 +340,12 @@
         self._cleared_at = {
             name: at for name, at in self._cleared_at.items() if at >= oldest
         }
-        by_age = sorted(
-            self._crashes, key=lambda name: _happened_at(self._crashes[name])
-        )
-        surplus = frozenset(by_age[: max(0, len(by_age) - MAX_CRASHES)])
-        self._crashes = {
-            name: crash
-            for name, crash in self._crashes.items()
-            if name not in surplus and self._is_current(crash, oldest)
-        }
+        by_age = sorted(self._crashes, key=_happened_at)
+        self._crashes = [
+            crash
+            for crash in by_age[-MAX_CRASHES:]
+            if self._is_current(crash, oldest)
+        ]
 
     def _is_current(self, crash: _OpenCrash, oldest: float) -> bool:
         return crash.happened_at >= oldest or not crash.candidates().isdisjoint(
--- a/src/sesamespoke/intake.py
+++ b/src/sesamespoke/intake.py
@@ -4,12 +4,11 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from typing import cast
 
-import xxhash
 from tornado.httputil import HTTPHeaders
 
 from sesamespoke.answers import end_to_end
+from sesamespoke.chat_prompts import hint_of, prefix_of, shared_parts_of
 from sesamespoke.verdicts import (
     BAD_REQUEST,
     BODY_TOO_LARGE,
@@ -33,7 +32,6 @@
 SAFE_METHODS = frozenset(('GET', 'HEAD'))
 MODELS_PATH = '/v1/models'
 DIGEST_BYTES = 16
-PREFIX_CHARACTERS = 1024
 DROPPED_HEADERS = frozenset(
     (
         'authorization',
@@ -203,8 +201,9 @@
         return refuse(BODY_TOO_LARGE)
     work = replace(
         _make_work(call, account, name, service),
-        prefix=_prefix_of(asked),
-        hint=_hint_of(asked),
+        prefix=prefix_of(asked),
+        shared_parts=shared_parts_of(asked),
+        hint=hint_of(asked),
         streaming=asked.get('stream') is True,
     )
     return Accepted(work, None)
@@ -276,18 +275,3 @@
         call.arrived_at + service.deadline_seconds,
         hashed.digest(),
     )
-
-
-def _prefix_of(asked: Mapping[str, object]) -> bytes:
-    messages = asked.get('messages')
-    if not isinstance(messages, list) or not messages:
-        return b''
-    beginning = json.dumps(messages[0])[:PREFIX_CHARACTERS]
-    return xxhash.xxh3_64_digest(beginning.encode())
-
-
-def _hint_of(asked: Mapping[str, object]) -> float | None:
-    bound = asked.get('max_completion_tokens', asked.get('max_tokens'))
-    if isinstance(bound, int | float) and bound > 0:
-        return float(cast(float, bound))
-    return None
--- a/src/sesamespoke/router.py
+++ b/src/sesamespoke/router.py
@@ -7,6 +7,10 @@
 from sesamespoke.claims import Claims
 from sesamespoke.host_list_poll import HostListPoll
 from sesamespoke.metrics import Metrics
+from sesamespoke.part_quarantine import (
+    PartQuarantine,
+    PartQuarantineDependencies,
+)
 from sesamespoke.peers import PeerStreams
 from sesamespoke.quarantine import Quarantine
 from sesamespoke.queues import RequestQueues
@@ -47,6 +51,14 @@
         self.queues = RequestQueues(cfg, self.peers, self.metrics)
         self.roles = DispatchRoles(cfg, self.peers, self.metrics, self.timeline)
         self.quarantine = Quarantine(self.peers, self.metrics, self.timeline)
+        self.part_quarantine = PartQuarantine(
+            PartQuarantineDependencies(
+                self.peers,
+                self.metrics,
+                asyncio.get_running_loop().time,
+                lambda event, /, **facts: self.timeline.record(event, **facts),
+            )
+        )
         self.callers = CallerServer(cfg, self._caller_parts())
         self.shutdown = Shutdown(
             self._shutdown_steps(),
@@ -101,6 +113,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
+        self.part_quarantine.close()
         await self.admin.close()
         await self.claims.stop()
         await self.rollout.stop()
@@ -124,6 +137,7 @@
             metrics=self.metrics,
             timeline=self.timeline,
             quarantine=self.quarantine,
+            part_quarantine=self.part_quarantine,
             ready=lambda: self.is_ready,
         )
 
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -15,6 +15,7 @@
 from sesamespoke.attempts import Attempt, Reply
 from sesamespoke.events import EventRelay
 from sesamespoke.metrics import Metrics
+from sesamespoke.part_quarantine import PROOF_SECONDS
 from sesamespoke.retries import (
     MIN_TIME_LEFT_SECONDS,
     RetryContext,
@@ -47,9 +48,6 @@
 """A stream has stalled after this multiple of its route's ``max_gap``."""
 MIN_STALL_TIMEOUT = 2.0
 """Lower bound in seconds; callers drop a stream that pauses for longer."""
-PROOF_SECONDS = 0.25
-"""Time for which an answer goes on before it shows that its request does not
-crash endpoints."""
 
 REQUEST_QUARANTINED = Reason(
     'request_quarantined',
--- a/src/sesamespoke/slot_choice.py
+++ b/src/sesamespoke/slot_choice.py
@@ -47,7 +47,12 @@
         self._avoided.add(slot.endpoint_name)
 
     def is_quarantined(self) -> bool:
-        """Return whether the request is rejected by the quarantine."""
+        """Return whether the request is rejected by a quarantine."""
+        part_quarantine = self._parts.part_quarantine
+        if part_quarantine is not None and part_quarantine.seconds_blocked(
+            self._work.shared_parts
+        ):
+            return True
         quarantine = self._parts.quarantine
         if quarantine is None:
             return False
--- a/src/sesamespoke/work.py
+++ b/src/sesamespoke/work.py
@@ -15,7 +15,8 @@
 
     ``deadline`` is on the loop's clock; ``digest`` identifies method, path
     and body for the quarantine; ``prefix`` identifies the beginning of the
-    prompt for affinity; ``hint`` is the caller's bound on output tokens.
+    prompt for affinity; ``shared_parts`` name the messages of a prompt that
+    others may share; ``hint`` is the caller's bound on output tokens.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     deadline: float
     digest: bytes
     prefix: bytes = b''
+    shared_parts: tuple[str, ...] = ()
     hint: float | None = None
     streaming: bool = False
     idempotent: bool = True
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -8,12 +8,13 @@
 from hypothesis import strategies as st
 from support_serving_jobs import Clock
 
-from sesamespoke.serving.crash_evidence import (
+from sesamespoke.crash_evidence import (
     CRASHES_OF_ANSWERED_PART,
     CRASHES_OF_NEW_PART,
     EXPIRY_SECONDS,
     JOINT_TRIAL_SECONDS,
     MAX_CRASHES,
+    MERGE_SECONDS,
     PROVEN_TRIAL_SECONDS,
     TRIAL_SECONDS,
     BrokenRequest,
@@ -192,6 +193,16 @@
     assert len(scenario.evidence.crashes()) <= MAX_CRASHES + 1
 
 
+def test_later_crash_of_the_same_endpoint_is_another_crash() -> None:
+    scenario = Scenario()
+    for seconds, crashes in ((0, 1), (MERGE_SECONDS / 2, 1), (20, 2)):
+        scenario.clock.now += seconds
+        now = scenario.clock.now
+        request = BrokenRequest(b'%d' % int(now), now - 0.1, ('dead',))
+        scenario.evidence.add_crash(Crash('e', now, (request,)))
+        assert len(scenario.evidence.crashes()) == crashes
+
+
 @given(st.lists(st.sampled_from('abcd'), max_size=12))
 def test_order_of_reports_does_not_change_what_is_quarantined(
     parts: list[str],
--- a/tests/test_crash_tracker_model.py
+++ b/tests/test_crash_tracker_model.py
@@ -16,13 +16,14 @@
 from sesamespoke.links import Handler, Member, MessageT, View
 from sesamespoke.messages import Message
 from sesamespoke.metrics import Metrics
+from sesamespoke.part_quarantine import PROOF_SECONDS
 from sesamespoke.serving.crash_tracker import (
     CrashTrackerDependencies,
     SharedCrashTracker,
 )
 from sesamespoke.serving.directory import ListedEndpoint
 from sesamespoke.serving.job import Job, Prompt, PromptPart
-from sesamespoke.serving.serving_call import PROOF_SECONDS, BrokenAttempt
+from sesamespoke.serving.serving_call import BrokenAttempt
 from sesamespoke.timeline import Timeline
 
 CONTACT_SECONDS = 3.0
--- a/tests/test_fleet_outcomes.py
+++ b/tests/test_fleet_outcomes.py
@@ -162,6 +162,32 @@
     run(steps)
 
 
+def test_shared_message_in_ever_new_requests_does_not_crash_all_engines() -> (
+    None
+):
+    def ask_with(system: str, text: str) -> dict[str, object]:
+        content = completion(text)
+        asked = {'role': 'user', 'content': text}
+        messages = [{'role': 'system', 'content': system}, asked]
+        return {**content, 'messages': messages}
+
+    async def steps(fleet: Serving) -> None:
+        sound = ask_with('sound', 'seats')
+        for number in range(12):
+            router = fleet.routers[number % len(fleet.routers)]
+            marked = ask_with('CRASH-ENGINE', f'question {number}')
+            answers = await asyncio.gather(
+                fleet.ask(router, COMPLETIONS, marked),
+                fleet.ask(router, COMPLETIONS, sound),
+            )
+            assert answers[0].status != 200
+        assert fleet.crashes() <= 5
+        assert ends([answers[1]]) == [OK]
+        assert error_of(answers[0]) == REFUSED
+
+    run(steps)
+
+
 def quarantines(fleet: Serving) -> list[str]:
     """Return the digests that routers refuse, one for each router."""
     return [
