Drop totals of a data centre whose routers report directly again

What callers saw: after a partition healed, requests in flight of one data centre counted twice for up to three seconds, so that engines looked fuller than they were. Cause: totals that came during the partition stay among the load reports until they are stale. New ones are ignored once routers report directly, but nothing removed the old ones. Change: a direct report from another data centre drops its totals. The 16 tests of loads pass.

--- a/src/sesamespoke/serving/data_centre_loads.py
+++ b/src/sesamespoke/serving/data_centre_loads.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, replace
 
 from sesamespoke.links import View
-from sesamespoke.routing_messages import SiteLoads
+from sesamespoke.routing_messages import RouterLoads, SiteLoads
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.load import STALE_SECONDS, LoadTracker
 from sesamespoke.serving.peer_loads import (
@@ -83,6 +83,7 @@
         self._sent_at: float = 0
         self._data_centre_of: dict[str, str] = {}
         links.subscribe(SiteLoads, self._receive)
+        links.subscribe(RouterLoads, self._prefer_direct_report)
         links.on_view(self._update_hosts)
 
     async def run(self) -> None:
@@ -180,6 +181,16 @@
             name, message.accounts, age, is_own=is_own
         )
 
+    def _prefer_direct_report(self, sender: str, message: RouterLoads) -> None:
+        """Drop the totals of a data centre whose routers report here again.
+
+        Totals that came while they could not would count beside the reports
+        until they are stale.
+        """
+        name = self._data_centre_of.get(sender, self._links.data_centre)
+        if name != self._links.data_centre:
+            self._loads.drop_report(_source(name))
+
     def _record(self, sender: str, message: SiteLoads, age: float) -> None:
         """Record the totals of another data centre, if they are the newest."""
         now = self._clock()
