Let accounts above their share fill engines to two fifths

Cause: the lower limit of what such an account may fill, a quarter. Change: two fifths. The limit is inversely proportional to usage as before.

--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -34,7 +34,7 @@
 UTILISATION_LIMIT_AT_SHARE = 0.75
 """Utilisation limit of an account whose usage equals its share. The limit is
 inversely proportional to the usage, and at most 1."""
-MIN_UTILISATION_LIMIT = 0.25
+MIN_UTILISATION_LIMIT = 0.4
 """Utilisation limit that applies to every account at least."""
 MIN_REPORTED_TOKENS = 1.0
 """Amounts that have decayed to less are not reported to other data centres."""
