Leave another engine half of the time when a stream stalls late

What callers saw: a stream with a short deadline, whose engine began late and then fell silent, was cut at its deadline: the silence of four times the pause that the route allows (2.4 s) left 0.6 s or less of a request of 3 s. Cause: the time after which a stream has stalled did not depend on the time left. The known red test_a_stalled_stream_is_resumed[1-send_nothing] has the same deadline and silence, and 0.59 s to spare on an idle machine: a machine that is late by that much fails it. Change: a stream has stalled after half of the time left, at least twice and at most four times the allowed pause. Test: test_a_stream_that_stalls_late_leaves_time_for_another_engine failed before, both cases (engine 0.7 s late).

--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -57,6 +57,9 @@
 MIN_STALL_CHECK_SECONDS = 0.25
 """Seconds until a stalled endpoint is checked again, if no other endpoint could
 continue the stream."""
+STALL_TIMEOUT_FRACTION = 0.5
+"""Part of the time left after which a stream has stalled, so that another
+endpoint has the rest of it."""
 IDLE_TIMEOUT_FRACTION = 0.75
 """Fraction of an endpoint's announced idle timeout after which a connection is
 not reused, since the endpoint may be closing it."""
@@ -96,7 +99,8 @@
       whether another endpoint can continue the stream.
 
     ``first_byte_timeout`` bounds the wait for the first byte of the body, and
-    ``stall_timeout`` each later wait for an event of a stream, in seconds. If
+    ``stall_timeout`` each later wait for an event of a stream, in seconds. Late
+    in a request that wait is shorter, but at least ``min_stall_timeout``. If
     ``prefix_holder_address`` is set, the endpoint is told to fetch the parts
     of the prompt that it has not cached from that address.
     """
@@ -112,6 +116,7 @@
         """Prepare an attempt; nothing is sent yet."""
         self.first_byte_timeout: float = math.inf
         self.stall_timeout: float = math.inf
+        self.min_stall_timeout: float = math.inf
         self.prefix_holder_address = ''
         self.sent_at: float | None = None
         self.resent = False
@@ -310,7 +315,11 @@
 
     def _event_timeout(self) -> float:
         """Return how long the endpoint may send no event, in seconds."""
-        timeout = self.stall_timeout
+        left = self._job.deadline - self._loop.time()
+        timeout = min(
+            self.stall_timeout,
+            max(self.min_stall_timeout, left * STALL_TIMEOUT_FRACTION),
+        )
         if self.first_byte_at is None:
             times_out_at = self._started_at + self.first_byte_timeout
             timeout = max(
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -46,6 +46,8 @@
 """The first byte is awaited for this multiple of the latency objective."""
 STALL_TIMEOUT_FACTOR = 4.0
 """A stream has stalled after this multiple of its route's ``max_gap``."""
+LATE_STALL_TIMEOUT_FACTOR = 2.0
+"""The same for a stream whose deadline is near."""
 MIN_STALL_TIMEOUT = 2.0
 """Lower bound in seconds; callers drop a stream that pauses for longer."""
 
@@ -303,6 +305,7 @@
         exchange.stall_timeout = max(
             MIN_STALL_TIMEOUT, route.max_gap * STALL_TIMEOUT_FACTOR
         )
+        exchange.min_stall_timeout = route.max_gap * LATE_STALL_TIMEOUT_FACTOR
 
     def _decide_next(
         self, exchange: Exchange, attempt: Attempt
--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -226,6 +226,36 @@
     run_with_fleet(steps)
 
 
+@pytest.mark.parametrize('sent', [1, 2])
+def test_a_stream_that_stalls_late_leaves_time_for_another_engine(
+    sent: int,
+) -> None:
+    stalled: list[str] = []
+
+    async def start_late_and_stall(
+        asked: ReceivedRequest, writer: Writer
+    ) -> None:
+        if stalled:
+            await stream_events(asked, writer)
+            return
+        stalled.append(asked.request_id)
+        await asyncio.sleep(0.7)
+        writer.write(head_bytes(asked, 200, CHUNKED))
+        for number in range(1, sent + 1):
+            writer.write(chunk(event(number)))
+        with contextlib.suppress(ConnectionError):
+            await send_nothing(writer)
+
+    async def steps(fleet: Fleet) -> None:
+        for name in ('i-1', 'i-2'):
+            await fleet.add_engine(name, 'llm', start_late_and_stall)
+        answered = await (await fleet.connect()).request('/s/1')
+        assert answered.is_complete
+        assert answered.body == event(1) + event(2) + event(3)
+
+    run_with_fleet(steps)
+
+
 def test_a_stream_of_incomplete_events_ends_at_its_deadline() -> None:
     async def send_incomplete_events(
         asked: ReceivedRequest, writer: Writer
