Drop endpoints that a confirmed list lacks once their grace is over

Cause: after an outage of the list, endpoints that a new list lacks are kept for two seconds. A router that receives lists from its data centre's reader then gets digests alone while the list does not change, and a digest confirmed the list without looking at what had been kept beside it, until the next full list, up to five polling intervals later. Change: a confirmed list removes what was kept once the grace is over. Test: test_confirmed_list_ends_the_grace_period_of_missing_endpoints failed before.

--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -71,6 +71,7 @@
         self.digest = 0
         self._clock = clock
         self._relist_grace_until: float = 0
+        self._retained: frozenset[str] = frozenset()
         self._returned_at: dict[str, float] = {}
         self._usable_by_service: dict[str, tuple[ListedEndpoint, ...]] = {}
 
@@ -87,6 +88,7 @@
         self.revision = listing.revision
         self.digest = _digest_of(listing.endpoints)
         now = self._clock()
+        self._retained = frozenset()
         if now < self._relist_grace_until:
             self._retain_missing(fresh)
         self.listed_at = now
@@ -95,9 +97,20 @@
             self._notify_listeners()
 
     def confirm(self, revision: int) -> None:
-        """Record that the list is unchanged at a later revision."""
+        """Record that the list is unchanged at a later revision.
+
+        Endpoints that it lacks are removed once their grace period is over.
+        """
         self.revision = max(self.revision, revision)
         self.listed_at = self._clock()
+        if self._retained and self.listed_at >= self._relist_grace_until:
+            self.endpoints = {
+                name: endpoint
+                for name, endpoint in self.endpoints.items()
+                if name not in self._retained
+            }
+            self._retained = frozenset()
+            self._notify_listeners()
 
     def note_outage(self) -> None:
         """Record that the list can't be read now."""
@@ -157,9 +170,13 @@
     def _retain_missing(self, fresh: dict[str, ListedEndpoint]) -> None:
         """Add the endpoints missing from a list whose address is unused."""
         in_use = {endpoint.address for endpoint in fresh.values()}
-        for name, endpoint in self.endpoints.items():
-            if name not in fresh and endpoint.address not in in_use:
-                fresh[name] = endpoint
+        missing = {
+            name: endpoint
+            for name, endpoint in self.endpoints.items()
+            if name not in fresh and endpoint.address not in in_use
+        }
+        self._retained = frozenset(missing)
+        fresh.update(missing)
 
     def _notify_listeners(self) -> None:
         self._usable_by_service.clear()
--- a/tests/test_serving_endpoint_list_sharing.py
+++ b/tests/test_serving_endpoint_list_sharing.py
@@ -9,7 +9,12 @@
 
 from sesamespoke.links import Handler, Member, MessageT, View
 from sesamespoke.messages import Message
-from sesamespoke.serving.directory import Directory, ListedEndpoint, Listing
+from sesamespoke.serving.directory import (
+    RELIST_GRACE_SECONDS,
+    Directory,
+    ListedEndpoint,
+    Listing,
+)
 from sesamespoke.serving.endpoint_list_sharing import (
     READER_TIMEOUT_INTERVALS,
     EndpointListSharing,
@@ -157,6 +162,21 @@
     run(steps())
 
 
+def test_confirmed_list_ends_the_grace_period_of_missing_endpoints() -> None:
+    async def steps() -> None:
+        readers, others = make_nodes()
+        readers[0].read_list(10)
+        others[0].directory.note_outage()
+        readers[0].read_list(11, ENDPOINTS[1:])
+        assert set(others[0].directory.usable('llm')) == set(ENDPOINTS)
+        await asyncio.sleep(RELIST_GRACE_SECONDS + 0.1)
+        readers[0].read_list(12, ENDPOINTS[1:])
+        assert others[0].directory.usable('llm') == ENDPOINTS[1:]
+        assert not others[0].directory.is_usable(ENDPOINTS[0])
+
+    run(steps())
+
+
 def test_cold_starts_and_leaving_endpoints_are_published() -> None:
     async def steps() -> None:
         readers, others = make_nodes()
