Send nothing new to an engine that says in an answer that it leaves

Cause: only the list told that an engine leaves. Change: Server-Leaving in any answer but a 421 takes the incarnation out of use here at once and at the other routers by a message, which is sent again to hosts that connect. It stays out although the list calls it ready, until the name is another incarnation's.

--- a/src/sesamespoke/codec.py
+++ b/src/sesamespoke/codec.py
@@ -67,6 +67,7 @@
         40: routing_messages.RouterLoads,
         41: routing_messages.EndpointList,
         42: routing_messages.SiteLoads,
+        43: routing_messages.EndpointLeaves,
         50: crash_messages.EndpointCrash,
         51: crash_messages.PartsCleared,
         52: crash_messages.PartsTrial,
--- a/src/sesamespoke/platform/headers.py
+++ b/src/sesamespoke/platform/headers.py
@@ -23,6 +23,7 @@
     last_event_id='Last-Event-Id',
     seal='Response-Seal',
     not_run='Not-Executed',
+    leaving='Server-Leaving',
     fetch_from='Kv-Fetch',
 )
 
--- a/src/sesamespoke/routing_messages.py
+++ b/src/sesamespoke/routing_messages.py
@@ -54,4 +54,14 @@
     rows: tuple[EndpointRow, ...]
 
 
-RoutingMessage = RouterLoads | SiteLoads | EndpointList | CrashMessage
+@dataclass(frozen=True, slots=True)
+class EndpointLeaves:
+    """An incarnation of an endpoint has said in an answer that it leaves."""
+
+    endpoint: str
+    born: int
+
+
+RoutingMessage = (
+    RouterLoads | SiteLoads | EndpointList | EndpointLeaves | CrashMessage
+)
--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -14,6 +14,9 @@
 
 RELIST_GRACE_SECONDS = 2.0
 """Time within which a live endpoint is listed again after an outage."""
+LEAVING_SECONDS = 600.0
+"""Time for which it is remembered that an endpoint is leaving; it may be listed
+as ready until it has gone."""
 RETURN_COLD_SECONDS = 2.5
 """Time for which endpoints of a data centre that is back in service count as
 cold. Endpoints report a cold start only with their next heartbeat, and the
@@ -72,6 +75,7 @@
         self._clock = clock
         self._relist_grace_until: float = 0
         self._retained: frozenset[str] = frozenset()
+        self._said_leaving: dict[tuple[str, int], float] = {}
         self._returned_at: dict[str, float] = {}
         self._usable_by_service: dict[str, tuple[ListedEndpoint, ...]] = {}
 
@@ -140,7 +144,7 @@
                 endpoint
                 for endpoint in self.endpoints.values()
                 if endpoint.service == service
-                and not endpoint.leaving
+                and not self._is_leaving(endpoint)
                 and endpoint.data_centre not in self.evacuated
             )
             self._usable_by_service[service] = cached
@@ -153,10 +157,28 @@
             known is not None
             and known.address == endpoint.address
             and known.born == endpoint.born
-            and not known.leaving
+            and not self._is_leaving(known)
             and known.data_centre not in self.evacuated
         )
 
+    def note_leaving(self, name: str, born: int) -> bool:
+        """Record that an incarnation leaves; return whether that is new."""
+        now = self._clock()
+        self._said_leaving = {
+            key: at
+            for key, at in self._said_leaving.items()
+            if now - at < LEAVING_SECONDS
+        }
+        is_new = (name, born) not in self._said_leaving
+        self._said_leaving[name, born] = now
+        if is_new:
+            self._notify_listeners()
+        return is_new
+
+    def said_leaving(self) -> tuple[tuple[str, int], ...]:
+        """Return name and incarnation of endpoints that said they leave."""
+        return tuple(self._said_leaving)
+
     def is_cold(self, endpoint: ListedEndpoint) -> bool:
         """Return whether an endpoint may have reduced capacity now.
 
@@ -167,6 +189,10 @@
         cold_until = max(endpoint.cold_until, returned_at + RETURN_COLD_SECONDS)
         return self._clock() < cold_until
 
+    def _is_leaving(self, endpoint: ListedEndpoint) -> bool:
+        key = (endpoint.name, endpoint.born)
+        return endpoint.leaving or key in self._said_leaving
+
     def _retain_missing(self, fresh: dict[str, ListedEndpoint]) -> None:
         """Add the endpoints missing from a list whose address is unused."""
         in_use = {endpoint.address for endpoint in fresh.values()}
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -76,6 +76,7 @@
     last_event_id: str
     seal: str
     not_run: str
+    leaving: str
     fetch_from: str
 
 
@@ -95,6 +96,7 @@
     - ``may_send`` once a connection is open, before the first byte is sent;
     - ``may_resend`` before the request is sent a second time because a reused
       connection had been closed; ``resent`` tells whether that happened;
+    - ``on_leaving`` when the endpoint answers that it is leaving;
     - ``may_fail_over`` when a stream has sent no event for too long: it tells
       whether another endpoint can continue the stream.
 
@@ -121,6 +123,7 @@
         self.sent_at: float | None = None
         self.resent = False
         self.on_first_byte: Callable[[], None] = _ignore
+        self.on_leaving: Callable[[], None] = _ignore
         self.first_byte_at: float | None = None
         self.may_send: Callable[[], bool] = _always
         self.may_resend: Callable[[], bool] = _never
@@ -191,6 +194,7 @@
             head = await self._read_head(conn)
         if head is None:
             return STALE
+        self._note_state(head)
         body = BodyReader(head, self._job.method, ends_by_close=True)
         if head.status == OK and self._job.route.kind is CallKind.STREAM:
             attempt = await self._relay_events(conn, head, body)
@@ -199,6 +203,13 @@
         conn.clean = _is_reusable(conn, head, body)
         return attempt
 
+    def _note_state(self, head: Head) -> None:
+        """Note what the endpoint says of itself in the head of an answer."""
+        if head.status == MISDIRECTED_REQUEST:
+            return
+        if head.headers.get(self._context.header_names.leaving) == '1':
+            self.on_leaving()
+
     async def _read_head(self, conn: Connection) -> Head | None:
         """Return the head of the response to this request.
 
@@ -443,7 +454,7 @@
 
 
 def _ignore() -> None:
-    """Do nothing at the first byte."""
+    """Do nothing."""
 
 
 _BODILESS_METHODS = frozenset(('GET', 'HEAD'))
--- a/src/sesamespoke/serving/routed_server.py
+++ b/src/sesamespoke/serving/routed_server.py
@@ -1,17 +1,8 @@
-"""HTTP servers of a router: one for callers, and one for status pages."""
+"""The HTTP server of a router for callers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
-from tornado.httpserver import HTTPServer
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPServerRequest,
-    ResponseStartLine,
-)
-from tornado.netutil import bind_sockets
-
-from sesamespoke.answers import Answer
 from sesamespoke.caller_connections import ConnectionReply
 from sesamespoke.intake import Call
 from sesamespoke.request_server import Ended, RequestServer, ServerSettings
@@ -19,7 +10,6 @@
 from sesamespoke.serving.intake import ReadHead, accept, refuse_for_now
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.serving_call import ServingCall, ServingDependencies
-from sesamespoke.settings import Address
 from sesamespoke.verdicts import Refusal
 
 MS_PER_SECOND = 1000
@@ -116,41 +106,3 @@
             lag_ms=round(self._deps.lag() * MS_PER_SECOND),
             catalog=catalog.version if catalog else None,
         )
-
-
-PageHandler = Callable[[HTTPServerRequest], Answer]
-
-
-class PageServer:
-    """Serves pages that are available at once: readiness and metrics."""
-
-    def __init__(self, address: Address, page: PageHandler) -> None:
-        """Prepare the server; ``listen`` opens its port."""
-        self._address = address
-        self._page = page
-        self._server = HTTPServer(self._answer)
-
-    def listen(self) -> None:
-        """Open the port."""
-        sockets = bind_sockets(self._address.port, self._address.ip)
-        self._address = replace(self._address, port=sockets[0].getsockname()[1])
-        self._server.add_sockets(sockets)
-
-    @property
-    def port(self) -> int:
-        """Return the port, once it is open."""
-        return self._address.port
-
-    def close(self) -> None:
-        """Close the port."""
-        self._server.stop()
-
-    def _answer(self, request: HTTPServerRequest) -> None:
-        answer = self._page(request)
-        headers = HTTPHeaders(dict(answer.headers))
-        headers['Content-Length'] = str(len(answer.body))
-        line = ResponseStartLine('HTTP/1.1', answer.status, '')
-        conn = request.connection
-        if conn is not None:
-            conn.write_headers(line, headers, answer.body)
-            conn.finish()
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -3,9 +3,7 @@
 import asyncio
 
 import structlog
-from tornado.httputil import HTTPServerRequest
 
-from sesamespoke.answers import Answer
 from sesamespoke.endpoint_connections import ConnectionPool, PoolSettings
 from sesamespoke.metrics import Metrics
 from sesamespoke.peers import PeerStreams
@@ -23,18 +21,19 @@
 from sesamespoke.serving.fleet_size import FleetSize
 from sesamespoke.serving.graceful_shutdown import GracefulShutdown
 from sesamespoke.serving.intake import ReadHead
+from sesamespoke.serving.leaving_endpoints import LeavingEndpoints
 from sesamespoke.serving.load_exchange import LoadExchange
 from sesamespoke.serving.loop_lag import LoopLagMonitor
 from sesamespoke.serving.platform_interface import Feeds
 from sesamespoke.serving.platform_sync import PlatformSync
 from sesamespoke.serving.retry_budget import WindowedRetryBudget
 from sesamespoke.serving.routed_server import (
-    PageServer,
     RoutedServer,
     ServerDependencies,
 )
 from sesamespoke.serving.serving_call import ServingDependencies
 from sesamespoke.serving.settings import ServingSettings, peer_settings
+from sesamespoke.serving.status_pages import open_pages
 from sesamespoke.timeline import Timeline
 
 POOL_SETTINGS = PoolSettings(
@@ -113,6 +112,9 @@
             self._admission_queue,
             self._retry_budget,
             self._crash_tracker,
+            LeavingEndpoints(
+                self.peers, self.directory, self.metrics, log.info
+            ).note,
             self.metrics,
             log.info,
         )
@@ -138,10 +140,7 @@
             cfg.stop, lambda: self.server.requests, log.info
         )
         self.pressure = LoopLagMonitor(log.info, lambda: self.server.active)
-        self.pages = (
-            PageServer(cfg.ready, self._report_ready),
-            PageServer(cfg.metrics, self._report_metrics),
-        )
+        self.pages = open_pages(cfg, lambda: self.is_ready, self.metrics.scrape)
         self._tasks: list[asyncio.Task[None]] = []
 
     def apply_settings(self, cfg: ServingSettings) -> None:
@@ -212,10 +211,3 @@
             )
             self._retry_budgets[service] = budget
         return budget
-
-    def _report_ready(self, request: HTTPServerRequest) -> Answer:
-        return Answer(200 if self.is_ready else 503, (), b'')
-
-    def _report_metrics(self, request: HTTPServerRequest) -> Answer:
-        rows = (('Content-Type', 'text/plain; version=0.0.4'),)
-        return Answer(200, rows, self.metrics.scrape())
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -116,6 +116,7 @@
     admission_queue: Callable[[str], AdmissionQueue[Reservation]]
     retry_budget: Callable[[str], WindowedRetryBudget]
     crash_tracker: CrashTracker
+    note_leaving: Callable[[ListedEndpoint], None]
     metrics: Metrics
     log: Log
 
@@ -223,6 +224,7 @@
         exchange.may_send = lambda: self._may_send(reservation)
         exchange.may_resend = lambda: self._may_resend(reservation)
         exchange.may_fail_over = lambda: self._may_fail_over(reservation)
+        exchange.on_leaving = lambda: deps.note_leaving(reservation.endpoint)
         exchange.on_first_byte = lambda: self._note_first_byte(reservation)
         try:
             attempt = await exchange.run()
