Send nothing to an engine for as long as its Retry-After asks

Cause: a refusal paused an engine for 0.1 s, whatever it asked for. Change: a 503 with Retry-After takes the engine out of this router's choice for those seconds, an hour at most; dates, negative and unreadable values are ignored. Then one request goes first, and each answer doubles what may be in flight, up to 64. Where every engine of a service has asked for it, callers are refused at once, also those that wait, with a Retry-After spread over half of the time again.

--- a/src/sesamespoke/checked_fields.py
+++ b/src/sesamespoke/checked_fields.py
@@ -28,6 +28,18 @@
     return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
 
 
+def read_retry_after(text: str) -> float:
+    """Return the seconds of a ``Retry-After`` header, with a fraction.
+
+    Returns 0 for a date, a negative number and what can't be read.
+    """
+    number = text.strip()
+    whole, _, fraction = number.partition('.')
+    if not (is_count(whole) and is_count(fraction or '0')):
+        return 0
+    return float(number)
+
+
 def is_finite(number: object) -> bool:
     """Return whether a decoded value is a number that can be used."""
     if isinstance(number, bool) or not isinstance(number, int | float):
--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -164,6 +164,16 @@
         jitter = random.uniform(1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER)
         return Refusal(NO_ROOM, Verdict.NOT_RUN, retry_after=wait * jitter)
 
+    def refuse_all(self, refuse: Callable[[], Refusal]) -> None:
+        """Refuse every waiting request, each with a refusal of its own."""
+        waiters = [
+            waiter for queue in self._queues.values() for waiter in queue
+        ]
+        for waiter in waiters:
+            self._remove(waiter)
+            if not waiter.fut.done():
+                waiter.fut.set_result(refuse())
+
     def schedule(self) -> None:
         """Grant waiting requests, those of the least served account first."""
         self._last_pass_at = self._clock()
--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
+from sesamespoke.serving.backoff import EndpointBackoff
 from sesamespoke.serving.catalog import Catalog, RoutedService
 from sesamespoke.serving.cold_rate_limiter import ColdRateLimiter
 from sesamespoke.serving.directory import Directory, ListedEndpoint
@@ -69,6 +70,7 @@
         """Start without any load; ``data_centre`` is the one of this host."""
         self.loads = LoadTracker(clock)
         self.health = Health(clock)
+        self.backoff = EndpointBackoff(clock)
         self.cold_limiter = ColdRateLimiter(host, clock, routers)
         self._catalog = catalog
         self._directory = directory
@@ -98,6 +100,7 @@
         endpoint = placement.endpoint
         if self._directory.is_cold(endpoint):
             self.cold_limiter.note_sent(endpoint.name, service.cold_rate)
+        self.backoff.begin(endpoint.name)
         in_flight = self.loads.begin(endpoint.name, placement.prefill_ms)
         return Reservation(placement, in_flight)
 
@@ -115,8 +118,18 @@
 
     def is_usable(self, reservation: Reservation) -> bool:
         """Return whether the endpoint may still be sent a request."""
+        if self.backoff.seconds_left(reservation.endpoint.name):
+            return False
         return self._directory.is_usable(reservation.endpoint)
 
+    def seconds_unavailable(self, service: str) -> float:
+        """Return how long all endpoints of a service want no request."""
+        usable = self._directory.usable(service)
+        return min(
+            (self.backoff.seconds_left(endpoint.name) for endpoint in usable),
+            default=0,
+        )
+
     def may_send_again(self, reservation: Reservation) -> bool:
         """Return whether the endpoint may be sent the request once more."""
         if not self.is_usable(reservation):
@@ -126,6 +139,7 @@
 
     def release(self, reservation: Reservation) -> None:
         """Give up the capacity that was held for a request."""
+        self.backoff.end(reservation.endpoint.name)
         self.loads.end(reservation.in_flight)
 
     def _place(
@@ -247,6 +261,7 @@
             endpoint
             for endpoint in self._directory.usable(service.name)
             if endpoint.name not in avoided
+            and self.backoff.allows(endpoint.name)
             and self._is_within_cold_rate(service, endpoint)
         ]
         healthy = [
@@ -270,9 +285,11 @@
         endpoint: ListedEndpoint,
     ) -> bool:
         """Return whether an endpoint may be sent a new request now."""
-        return self._directory.is_usable(
-            endpoint
-        ) and self._is_within_cold_rate(service, endpoint)
+        return (
+            self._directory.is_usable(endpoint)
+            and self.backoff.allows(endpoint.name)
+            and self._is_within_cold_rate(service, endpoint)
+        )
 
     def _is_within_cold_rate(
         self, service: RoutedService, endpoint: ListedEndpoint
@@ -297,4 +314,5 @@
 
     def _drop(self, name: str) -> None:
         self.health.drop(name)
+        self.backoff.drop(name)
         self.cold_limiter.drop(name)
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -20,7 +20,7 @@
     Reply,
     failed,
 )
-from sesamespoke.checked_fields import is_count
+from sesamespoke.checked_fields import is_count, read_retry_after
 from sesamespoke.endpoint_connections import (
     Connection,
     ConnectionPool,
@@ -45,6 +45,7 @@
 MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 MISDIRECTED_REQUEST = 421
+SERVICE_UNAVAILABLE = 503
 NOT_RUN_STATUSES = frozenset((408, 429, 503))
 """Callers take these to mean that the request did not run. An endpoint that
 sends one without the not-run header may have run it."""
@@ -97,6 +98,7 @@
     - ``may_resend`` before the request is sent a second time because a reused
       connection had been closed; ``resent`` tells whether that happened;
     - ``on_leaving`` when the endpoint answers that it is leaving;
+    - ``on_backoff`` when it wants no request for some seconds;
     - ``may_fail_over`` when a stream has sent no event for too long: it tells
       whether another endpoint can continue the stream.
 
@@ -124,6 +126,7 @@
         self.resent = False
         self.on_first_byte: Callable[[], None] = _ignore
         self.on_leaving: Callable[[], None] = _ignore
+        self.on_backoff: Callable[[float], None] = _ignore_seconds
         self.first_byte_at: float | None = None
         self.may_send: Callable[[], bool] = _always
         self.may_resend: Callable[[], bool] = _never
@@ -209,6 +212,9 @@
             return
         if head.headers.get(self._context.header_names.leaving) == '1':
             self.on_leaving()
+        seconds = read_retry_after(head.headers.get('Retry-After', ''))
+        if head.status == SERVICE_UNAVAILABLE and seconds:
+            self.on_backoff(seconds)
 
     async def _read_head(self, conn: Connection) -> Head | None:
         """Return the head of the response to this request.
@@ -457,6 +463,10 @@
     """Do nothing."""
 
 
+def _ignore_seconds(seconds: float) -> None:
+    """Do nothing."""
+
+
 _BODILESS_METHODS = frozenset(('GET', 'HEAD'))
 _MAX_WAIT_SECONDS = 3600.0
 
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Protocol
@@ -23,7 +24,7 @@
     decide_retry,
     worse_verdict,
 )
-from sesamespoke.serving.admission import AdmissionQueue
+from sesamespoke.serving.admission import NO_ROOM, AdmissionQueue
 from sesamespoke.serving.chooser import Chooser, Reservation
 from sesamespoke.serving.directory import ListedEndpoint
 from sesamespoke.serving.exchange import Exchange, ExchangeContext
@@ -48,6 +49,9 @@
 """A stream has stalled after this multiple of its route's ``max_gap``."""
 LATE_STALL_TIMEOUT_FACTOR = 2.0
 """The same for a stream whose deadline is near."""
+RETURN_SPREAD = 0.5
+"""Part of the time without endpoints over which callers' returns are spread."""
+MIN_RETURN_SPREAD_SECONDS = 0.5
 MIN_STALL_TIMEOUT = 2.0
 """Lower bound in seconds; callers drop a stream that pauses for longer."""
 
@@ -181,6 +185,11 @@
                         retry_after=blocked_for,
                     )
                 )
+            unavailable_for = self._deps.chooser.seconds_unavailable(
+                job.service
+            )
+            if unavailable_for:
+                return self._finish(_refuse_for(unavailable_for))
             reservation = await queue.admit(
                 job, self._reserve, is_retry=progress.sends > 0
             )
@@ -225,6 +234,9 @@
         exchange.may_resend = lambda: self._may_resend(reservation)
         exchange.may_fail_over = lambda: self._may_fail_over(reservation)
         exchange.on_leaving = lambda: deps.note_leaving(reservation.endpoint)
+        exchange.on_backoff = lambda seconds: self._note_backoff(
+            reservation.endpoint, seconds
+        )
         exchange.on_first_byte = lambda: self._note_first_byte(reservation)
         try:
             attempt = await exchange.run()
@@ -265,6 +277,22 @@
                 PROOF_SECONDS, tracker.clear, job, self._loop.time()
             )
 
+    def _note_backoff(self, endpoint: ListedEndpoint, seconds: float) -> None:
+        """Send nothing to an endpoint for as long as it asks."""
+        deps, service = self._deps, self._job.service
+        deps.chooser.backoff.note_refused(endpoint.name, seconds)
+        deps.metrics.count('endpoint_backoffs', service=service)
+        deps.log(
+            'endpoint_backs_off',
+            endpoint=endpoint.name,
+            seconds=seconds,
+            request_id=self._job.request_id,
+        )
+        if deps.chooser.seconds_unavailable(service):
+            deps.admission_queue(service).refuse_all(
+                lambda: _refuse_for(deps.chooser.seconds_unavailable(service))
+            )
+
     def _may_resend(self, reservation: Reservation) -> bool:
         """Return whether the request may be sent to the endpoint again."""
         left = self._job.deadline - self._loop.time()
@@ -354,6 +382,8 @@
                 why=attempt.detail,
             )
         self._track_crash(endpoint, exchange, attempt)
+        if attempt.verdict is Verdict.RAN:
+            deps.chooser.backoff.note_answered(endpoint.name)
         deps.metrics.count(
             'attempts',
             service=self._job.service,
@@ -492,6 +522,16 @@
         )
 
 
+def _refuse_for(seconds: float) -> Refusal:
+    """Return a refusal while no endpoint of the service wants a request.
+
+    Callers refused together come back one after the other.
+    """
+    spread = max(MIN_RETURN_SPREAD_SECONDS, seconds * RETURN_SPREAD)
+    retry_after = seconds + random.uniform(0, spread)
+    return Refusal(NO_ROOM, Verdict.NOT_RUN, retry_after=retry_after)
+
+
 def _placement_fields(reservation: Reservation) -> dict[str, object]:
     """Return the log fields on why the endpoint was chosen."""
     placed = reservation.placement
