Give the dependencies and log fields of a serving call modules of their own

Change: moved, nothing else: serving_dependencies holds Log, BrokenAttempt, CrashTracker and ServingDependencies, call_log the log fields. Measured: 61 tests of the router, backoff and crashing parts pass.

--- a/src/sesamespoke/serving/crash_tracker.py
+++ b/src/sesamespoke/serving/crash_tracker.py
@@ -28,7 +28,7 @@
     Record,
     RequestRecord,
 )
-from sesamespoke.serving.serving_call import BrokenAttempt, Log
+from sesamespoke.serving.serving_dependencies import BrokenAttempt, Log
 from sesamespoke.store import KeyStore
 from sesamespoke.timeline import Timeline
 
--- a/src/sesamespoke/serving/data_centre_loads.py
+++ b/src/sesamespoke/serving/data_centre_loads.py
@@ -27,7 +27,7 @@
     Audience,
     Broadcaster,
 )
-from sesamespoke.serving.serving_call import Log
+from sesamespoke.serving.serving_dependencies import Log
 from sesamespoke.ticks import next_tick
 
 TOTALS_INTERVAL_SECONDS = 0.1
--- a/src/sesamespoke/serving/fleet_size.py
+++ b/src/sesamespoke/serving/fleet_size.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from sesamespoke.links import View
-from sesamespoke.serving.serving_call import Log
+from sesamespoke.serving.serving_dependencies import Log
 
 HOST_RETENTION_SECONDS = 600.0
 """How long an absent host still counts. Regions can be partitioned from each
--- a/src/sesamespoke/serving/graceful_shutdown.py
+++ b/src/sesamespoke/serving/graceful_shutdown.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from sesamespoke.serving.serving_call import Log
+from sesamespoke.serving.serving_dependencies import Log
 from sesamespoke.serving.settings import ShutdownSettings
 from sesamespoke.shutdown import (
     QUIET_SECONDS,
--- a/src/sesamespoke/serving/leaving_endpoints.py
+++ b/src/sesamespoke/serving/leaving_endpoints.py
@@ -8,7 +8,7 @@
 from sesamespoke.routing_messages import EndpointLeaves
 from sesamespoke.serving.directory import Directory, ListedEndpoint
 from sesamespoke.serving.peer_loads import Broadcaster
-from sesamespoke.serving.serving_call import Log
+from sesamespoke.serving.serving_dependencies import Log
 
 
 class LeavingEndpoints:
--- a/src/sesamespoke/serving/load_exchange.py
+++ b/src/sesamespoke/serving/load_exchange.py
@@ -7,7 +7,7 @@
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.load import LoadTracker
 from sesamespoke.serving.peer_loads import Broadcaster, PeerLoads
-from sesamespoke.serving.serving_call import Log
+from sesamespoke.serving.serving_dependencies import Log
 
 
 class LoadExchange:
--- a/src/sesamespoke/serving/loop_lag.py
+++ b/src/sesamespoke/serving/loop_lag.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from sesamespoke.serving.serving_call import Log
+from sesamespoke.serving.serving_dependencies import Log
 
 SAMPLE_SECONDS = 0.1
 HIGH_DELAY_SECONDS = 0.08
--- a/src/sesamespoke/serving/platform_sync.py
+++ b/src/sesamespoke/serving/platform_sync.py
@@ -29,7 +29,7 @@
     Feeds,
     OperatorUpdate,
 )
-from sesamespoke.serving.serving_call import Log
+from sesamespoke.serving.serving_dependencies import Log
 from sesamespoke.serving.settings import ServingSettings
 from sesamespoke.settings import Address
 from sesamespoke.store import Entry, Lease, Put, StoreUnavailable
--- a/src/sesamespoke/serving/quarantine_records.py
+++ b/src/sesamespoke/serving/quarantine_records.py
@@ -21,7 +21,7 @@
 )
 from sesamespoke.links import Links
 from sesamespoke.placement import rank_hosts
-from sesamespoke.serving.serving_call import Log
+from sesamespoke.serving.serving_dependencies import Log
 from sesamespoke.store import Delete, Entry, KeyStore, Put, StoreUnavailable
 
 RECORD_PREFIX = 'sesamespoke/quarantine/'
--- a/src/sesamespoke/serving/routed_server.py
+++ b/src/sesamespoke/serving/routed_server.py
@@ -9,7 +9,8 @@
 from sesamespoke.serving.catalog import CallerLimits, Catalog
 from sesamespoke.serving.intake import ReadHead, accept, refuse_for_now
 from sesamespoke.serving.job import Job
-from sesamespoke.serving.serving_call import ServingCall, ServingDependencies
+from sesamespoke.serving.serving_call import ServingCall
+from sesamespoke.serving.serving_dependencies import ServingDependencies
 from sesamespoke.verdicts import Refusal
 
 MS_PER_SECOND = 1000
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -31,7 +31,7 @@
     RoutedServer,
     ServerDependencies,
 )
-from sesamespoke.serving.serving_call import ServingDependencies
+from sesamespoke.serving.serving_dependencies import ServingDependencies
 from sesamespoke.serving.settings import ServingSettings, peer_settings
 from sesamespoke.serving.status_pages import open_pages
 from sesamespoke.timeline import Timeline
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -8,14 +8,11 @@
 import contextlib
 import math
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from typing import Protocol
 
 from sesamespoke.answers import Answer, marked
 from sesamespoke.attempts import Attempt, Reply
 from sesamespoke.events import EventRelay
-from sesamespoke.metrics import Metrics
 from sesamespoke.part_quarantine import PROOF_SECONDS
 from sesamespoke.retries import (
     MIN_TIME_LEFT_SECONDS,
@@ -24,14 +21,18 @@
     decide_retry,
     worse_verdict,
 )
-from sesamespoke.serving.admission import NO_ROOM, AdmissionQueue
-from sesamespoke.serving.chooser import Chooser, Reservation
+from sesamespoke.serving.admission import NO_ROOM
+from sesamespoke.serving.call_log import placement_fields, refusal_fields
+from sesamespoke.serving.chooser import Reservation
 from sesamespoke.serving.directory import ListedEndpoint
-from sesamespoke.serving.exchange import Exchange, ExchangeContext
+from sesamespoke.serving.exchange import Exchange
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.retry_budget import (
     RetryReservation,
-    WindowedRetryBudget,
+)
+from sesamespoke.serving.serving_dependencies import (
+    BrokenAttempt,
+    ServingDependencies,
 )
 from sesamespoke.verdicts import (
     ENDPOINT_FAILED,
@@ -63,68 +64,6 @@
 )
 
 
-class Log(Protocol):
-    """Writes structured log events without blocking."""
-
-    def __call__(self, event: str, /, **fields: object) -> None:
-        """Write an event, or count it as dropped."""
-
-
-@dataclass(frozen=True, slots=True)
-class BrokenAttempt:
-    """An attempt whose connection ended without a complete answer.
-
-    ``has_answer`` tells that an answer had begun some time before.
-    """
-
-    job: Job
-    endpoint: ListedEndpoint
-    sent_at: float
-    has_answer: bool
-
-
-class CrashTracker(Protocol):
-    """Tracks which requests crash endpoints, and which prompt parts."""
-
-    def seconds_blocked(self, job: Job) -> float:
-        """Return how long a request must not be sent; 0 if it may be now."""
-
-    def begin_attempt(self, job: Job) -> bool:
-        """Return whether a request may be sent now, if need be as a trial."""
-
-    def end_attempt(self, job: Job) -> None:
-        """Note that an attempt ended without a crash or an answer."""
-
-    def note_broken(self, attempt: BrokenAttempt) -> None:
-        """Record a connection that ended while an endpoint ran a request."""
-
-    def is_suspected(self, job: Job) -> bool:
-        """Return whether an answer to this request would clear something."""
-
-    def clear(self, job: Job, begun_at: float) -> None:
-        """Clear a request, since an answer to it began and went on."""
-
-    def note_answered(self, job: Job, begun_at: float) -> None:
-        """Record a complete answer, which began at a time of the clock."""
-
-
-@dataclass(frozen=True, slots=True)
-class ServingDependencies:
-    """The components of the router that serve requests.
-
-    ``admission_queue`` and ``retry_budget`` look up those of a service.
-    """
-
-    exchange_context: ExchangeContext
-    chooser: Chooser
-    admission_queue: Callable[[str], AdmissionQueue[Reservation]]
-    retry_budget: Callable[[str], WindowedRetryBudget]
-    crash_tracker: CrashTracker
-    note_leaving: Callable[[ListedEndpoint], None]
-    metrics: Metrics
-    log: Log
-
-
 @dataclass(slots=True)
 class _Progress:
     """The combined result of a request's attempts so far."""
@@ -217,7 +156,7 @@
         """Run one attempt at the reserved endpoint."""
         deps, job = self._deps, self._job
         self._relay.restart()
-        self._placement = _placement_fields(reservation)
+        self._placement = placement_fields(reservation)
         exchange = Exchange(
             deps.exchange_context,
             job,
@@ -490,7 +429,7 @@
             if reason.status == REQUEST_QUARANTINED.status:
                 reason = ENDPOINT_FAILED
             response = Refusal(reason, progress.verdict, progress.detail)
-        self._log_end('refused', None, **_refusal_fields(response))
+        self._log_end('refused', None, **refusal_fields(response))
         return response
 
     def _log_end(
@@ -530,23 +469,3 @@
     spread = max(MIN_RETURN_SPREAD_SECONDS, seconds * RETURN_SPREAD)
     retry_after = seconds + random.uniform(0, spread)
     return Refusal(NO_ROOM, Verdict.NOT_RUN, retry_after=retry_after)
-
-
-def _placement_fields(reservation: Reservation) -> dict[str, object]:
-    """Return the log fields on why the endpoint was chosen."""
-    placed = reservation.placement
-    return {
-        'endpoint': placed.endpoint.name,
-        'running': placed.load.running,
-        'unread_ms': round(placed.load.prefill_ms),
-        'own_unread_ms': round(placed.prefill_ms),
-        'expected_ms': round(placed.expected_ms),
-        'keeper': placed.prefix_holder.name if placed.prefix_holder else None,
-    }
-
-
-def _refusal_fields(refusal: Refusal) -> dict[str, object]:
-    fields: dict[str, object] = {'reason': refusal.reason.code}
-    if refusal.retry_after is not None:
-        fields['retry_after'] = round(refusal.retry_after, 2)
-    return fields
--- /dev/null
+++ b/src/sesamespoke/serving/serving_dependencies.py
@@ -0,0 +1,75 @@
+"""What serving a request needs of the router."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from sesamespoke.metrics import Metrics
+from sesamespoke.serving.admission import AdmissionQueue
+from sesamespoke.serving.chooser import Chooser, Reservation
+from sesamespoke.serving.directory import ListedEndpoint
+from sesamespoke.serving.exchange import ExchangeContext
+from sesamespoke.serving.job import Job
+from sesamespoke.serving.retry_budget import WindowedRetryBudget
+
+
+class Log(Protocol):
+    """Writes structured log events without blocking."""
+
+    def __call__(self, event: str, /, **fields: object) -> None:
+        """Write an event, or count it as dropped."""
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenAttempt:
+    """An attempt whose connection ended without a complete answer.
+
+    ``has_answer`` tells that an answer had begun some time before.
+    """
+
+    job: Job
+    endpoint: ListedEndpoint
+    sent_at: float
+    has_answer: bool
+
+
+class CrashTracker(Protocol):
+    """Tracks which requests crash endpoints, and which prompt parts."""
+
+    def seconds_blocked(self, job: Job) -> float:
+        """Return how long a request must not be sent; 0 if it may be now."""
+
+    def begin_attempt(self, job: Job) -> bool:
+        """Return whether a request may be sent now, if need be as a trial."""
+
+    def end_attempt(self, job: Job) -> None:
+        """Note that an attempt ended without a crash or an answer."""
+
+    def note_broken(self, attempt: BrokenAttempt) -> None:
+        """Record a connection that ended while an endpoint ran a request."""
+
+    def is_suspected(self, job: Job) -> bool:
+        """Return whether an answer to this request would clear something."""
+
+    def clear(self, job: Job, begun_at: float) -> None:
+        """Clear a request, since an answer to it began and went on."""
+
+    def note_answered(self, job: Job, begun_at: float) -> None:
+        """Record a complete answer, which began at a time of the clock."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServingDependencies:
+    """The components of the router that serve requests.
+
+    ``admission_queue`` and ``retry_budget`` look up those of a service.
+    """
+
+    exchange_context: ExchangeContext
+    chooser: Chooser
+    admission_queue: Callable[[str], AdmissionQueue[Reservation]]
+    retry_budget: Callable[[str], WindowedRetryBudget]
+    crash_tracker: CrashTracker
+    note_leaving: Callable[[ListedEndpoint], None]
+    metrics: Metrics
+    log: Log
--- a/tests/test_crash_tracker_model.py
+++ b/tests/test_crash_tracker_model.py
@@ -23,7 +23,7 @@
 )
 from sesamespoke.serving.directory import ListedEndpoint
 from sesamespoke.serving.job import Job, Prompt, PromptPart
-from sesamespoke.serving.serving_call import BrokenAttempt
+from sesamespoke.serving.serving_dependencies import BrokenAttempt
 from sesamespoke.timeline import Timeline
 
 CONTACT_SECONDS = 3.0
