Follow the store's era, and write again what a copy may lack

What callers would see when the store comes back from a copy some seconds old: changes at revisions that are given out again were missed until the next one beyond the old revision; entries were decoded from what an earlier era had at that revision; a host whose entry was lost was absent for up to 3.3 s, or for good if its lease number had become another host's; an evacuation that the copy lacks ended; an engine that was leaving, or had left, was ready again. Cause: revisions and lease numbers were compared as if the store could never go back. Change: every answer's era is read. One of an older era counts as no answer, a newer one makes watches, lists, the host's entry and the quarantine's records begin anew. Lists are compared by era and revision, also between routers. Entries of endpoints that had left or were leaving count once they are written again; endpoints, hosts and evacuations that the copy lacks stand for some seconds. No era, or one that can't be read, leaves all as it was. Answers of the store are read up to 8 MiB.

--- a/src/sesamespoke/codec.py
+++ b/src/sesamespoke/codec.py
@@ -65,7 +65,7 @@
         18: msg.DocumentPart,
         19: msg.ClaimRequest,
         40: routing_messages.RouterLoads,
-        41: routing_messages.EndpointList,
+        44: routing_messages.EndpointList,
         42: routing_messages.SiteLoads,
         43: routing_messages.EndpointLeaves,
         50: crash_messages.EndpointCrash,
--- a/src/sesamespoke/platform/feeds.py
+++ b/src/sesamespoke/platform/feeds.py
@@ -39,6 +39,11 @@
         self.store = store
         self._known_operator_keys: set[str] = set()
         self._decoded: dict[str, tuple[int, ListedEndpoint | None]] = {}
+        store.era.listeners.append(self._forget_decoded)
+
+    def _forget_decoded(self) -> None:
+        """Decode all entries anew: their revisions are given out again."""
+        self._decoded = {}
 
     async def list_endpoints(
         self,
@@ -62,7 +67,9 @@
                 cached = (entry.revision, found)
             self._decoded[entry.key] = cached
         listed_now = (endpoint for _, endpoint in self._decoded.values())
-        return Listing(revision, tuple(filter(None, listed_now)))
+        return Listing(
+            revision, tuple(filter(None, listed_now)), self.store.era.number
+        )
 
     async def list_hosts(
         self,
@@ -97,12 +104,15 @@
     """
     try:
         fields = json.loads(entry.content)
-        return _read_fields(entry.key.removeprefix(SERVER_PREFIX), fields, now)
+        name = entry.key.removeprefix(SERVER_PREFIX)
+        return _read_fields(name, fields, now, entry.revision)
     except MALFORMED:
         return None
 
 
-def _read_fields(name: str, fields: Any, now: float) -> ListedEndpoint | None:
+def _read_fields(
+    name: str, fields: Any, now: float, revision: int
+) -> ListedEndpoint | None:
     texts = (fields['service'], fields['address'], fields['zone'])
     cold_ms = fields.get('cold_remaining_ms', 0)
     slots = fields.get('slots', 1)
@@ -127,6 +137,7 @@
         LEAVING[state],
         now + cold_ms / MS_PER_SECOND if cold_ms > 0 else 0,
         int(born),
+        revision,
     )
 
 
--- a/src/sesamespoke/platform/kv_store.py
+++ b/src/sesamespoke/platform/kv_store.py
@@ -12,9 +12,17 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPError,
+    HTTPRequest,
+    HTTPResponse,
+)
+from tornado.httputil import HTTPHeaders
 
+from sesamespoke.checked_fields import is_count
 from sesamespoke.ip_resolver import IpResolver
+from sesamespoke.serving.store_era import StoreEra
 from sesamespoke.settings import Address
 from sesamespoke.store import (
     Absent,
@@ -36,6 +44,9 @@
 RETRY_DELAY_SECONDS = 0.25
 """The delay before a watch calls the store again after a failed call."""
 MAX_PARALLEL_CALLS = 10
+MAX_RESPONSE_BYTES = 8_388_608
+"""A page of a range holds about 1 MB, and a value at most as much."""
+ERA_HEADER = 'Store-Era'
 
 OK = 200
 NOT_FOUND = 404
@@ -55,15 +66,24 @@
     content: dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class _Page:
+    entries: tuple[Entry, ...]
+    revision: int
+    has_more: bool
+
+
 class KvStore:
     """Implements ``store.KeyStore`` with the platform's key-value service."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, era: StoreEra | None = None) -> None:
         """Create a client; it connects at the first call."""
+        self.era = era or StoreEra()
         self._base = f'http://{address}'
         self._client = AsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_PARALLEL_CALLS,
+            max_body_size=MAX_RESPONSE_BYTES,
             resolver=IpResolver(),
         )
 
@@ -145,13 +165,14 @@
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
                 continue
             entries, revision = listed
+            era = self.era.number
             for key in known_keys - {entry.key for entry in entries}:
                 yield Absent(key, revision)
                 known_keys.discard(key)
             for entry in entries:
                 known_keys.add(entry.key)
                 yield entry
-            async for change in self._changes(prefix, revision, wait):
+            async for change in self._changes(prefix, revision, era, wait):
                 _update_known_keys(known_keys, change)
                 yield change
 
@@ -163,10 +184,14 @@
         self,
         prefix: str,
         revision: int,
+        era: int,
         wait: WatchTimeout,
     ) -> AsyncGenerator[Entry | Absent | StoreUnavailable]:
-        """Yield changes until the history has a gap or a call fails."""
-        while True:
+        """Yield changes until the history has a gap or a call fails.
+
+        The history of another era is another one, whatever its revisions.
+        """
+        while era == self.era.number:
             seconds = wait()
             query = _query(
                 prefix=prefix,
@@ -181,7 +206,7 @@
                 yield reply
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
                 return
-            if reply.status != OK:
+            if reply.status != OK or era != self.era.number:
                 return
             for event in reply.content.get('events', ()):
                 change = _read_change(event)
@@ -200,25 +225,36 @@
         A ``stale`` read is cheaper for the store, and its result may be
         seconds old.
         """
-        options = {'serializable': 1} if stale else {}
         entries: list[Entry] = []
-        revision = 0
-        after = ''
+        revision, era, after = 0, self.era.number, ''
         while True:
-            query = _query(prefix=prefix, **options, **_page_start(after))
-            reply = await self._call('GET', f'/v1/kv-range?{query}')
-            if isinstance(reply, StoreUnavailable):
-                return reply
-            if reply.status != OK:
-                return StoreUnavailable(f'status {reply.status}')
-            page = _read_entries(reply.content)
-            revision = revision or _read_revision(reply.content)
-            if page is None or not revision:
-                return _malformed_response()
-            entries.extend(page)
-            if not page or not reply.content.get('has_more'):
+            page = await self._read_page(prefix, after, stale=stale)
+            if isinstance(page, StoreUnavailable):
+                return page
+            if after and era != self.era.number:
+                return StoreUnavailable('the store came back from a copy')
+            era = self.era.number
+            revision = revision or page.revision
+            entries.extend(page.entries)
+            if not (page.entries and page.has_more):
                 return tuple(entries), revision
-            after = page[-1].key
+            after = page.entries[-1].key
+
+    async def _read_page(
+        self, prefix: str, after: str, *, stale: bool
+    ) -> _Page | StoreUnavailable:
+        options = {'serializable': 1} if stale else {}
+        query = _query(prefix=prefix, **options, **_page_start(after))
+        reply = await self._call('GET', f'/v1/kv-range?{query}')
+        if isinstance(reply, StoreUnavailable):
+            return reply
+        if reply.status != OK:
+            return StoreUnavailable(f'status {reply.status}')
+        entries = _read_entries(reply.content)
+        revision = _read_revision(reply.content)
+        if entries is None or not revision:
+            return _malformed_response()
+        return _Page(entries, revision, bool(reply.content.get('has_more')))
 
     async def _call(
         self,
@@ -242,18 +278,40 @@
             response = await self._client.fetch(request, raise_error=False)
         except (OSError, HTTPError) as exc:
             return StoreUnavailable(str(exc), method != 'GET')
-        if response.error is not None and response.code >= 500:
-            applied = method != 'GET' and response.code not in REFUSED
-            return StoreUnavailable(f'status {response.code}', applied)
-        if response.code in REFUSED:
-            return StoreUnavailable(f'status {response.code}')
-        try:
-            content = json.loads(response.body or b'{}')
-        except ValueError:
-            return StoreUnavailable('the response is not JSON', method != 'GET')
-        if not isinstance(content, dict):
-            return _malformed_response()
-        return _Reply(response.code, content)
+        if not self._is_current(response.headers):
+            return StoreUnavailable(
+                'an answer of an older era', method != 'GET'
+            )
+        return _decode(method, response)
+
+    def _is_current(self, headers: HTTPHeaders) -> bool:
+        """Return whether an answer is of the newest era that is known.
+
+        A store that tells no era is served as one that never changes it.
+        """
+        text = headers.get(ERA_HEADER)
+        if text is None:
+            return True
+        if not is_count(text):
+            self.era.note_unreadable(text)
+            return True
+        return self.era.observe(int(text), 'store')
+
+
+def _decode(method: str, response: HTTPResponse) -> _Reply | StoreUnavailable:
+    """Return the reply of a call, or why there is none that can be used."""
+    if response.error is not None and response.code >= 500:
+        applied = method != 'GET' and response.code not in REFUSED
+        return StoreUnavailable(f'status {response.code}', applied)
+    if response.code in REFUSED:
+        return StoreUnavailable(f'status {response.code}')
+    try:
+        content = json.loads(response.body or b'{}')
+    except ValueError:
+        return StoreUnavailable('the response is not JSON', method != 'GET')
+    if not isinstance(content, dict):
+        return _malformed_response()
+    return _Reply(response.code, content)
 
 
 def _update_known_keys(
--- a/src/sesamespoke/routing_messages.py
+++ b/src/sesamespoke/routing_messages.py
@@ -4,7 +4,7 @@
 
 from sesamespoke.crash_messages import CrashMessage
 
-EndpointRow = tuple[str, str, str, str, int, bool, int, int]
+EndpointRow = tuple[str, str, str, str, int, bool, int, int, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +42,14 @@
 class EndpointList:
     """The platform's list of endpoints, as a router has just read it.
 
-    ``revision`` is the store's; ``digest`` identifies the list and
+    ``era`` and ``revision`` are the store's; ``digest`` identifies the list and
     ``orders`` the operators' orders in force at the sender. Rows: name,
     service, address, data centre, slots, leaving, milliseconds of cold
-    start left, incarnation. Without rows the list is the one of the digest.
+    start left, incarnation, revision of its entry. Without rows the list is
+    the one of the digest.
     """
 
+    era: int
     revision: int
     digest: int
     orders: int
--- a/src/sesamespoke/serving/crash_tracker.py
+++ b/src/sesamespoke/serving/crash_tracker.py
@@ -22,6 +22,7 @@
 )
 from sesamespoke.quarantine import Quarantine
 from sesamespoke.serving.job import Job
+from sesamespoke.serving.platform_interface import PlatformStore
 from sesamespoke.serving.quarantine_records import (
     PartRecord,
     QuarantineRecords,
@@ -29,7 +30,6 @@
     RequestRecord,
 )
 from sesamespoke.serving.serving_dependencies import BrokenAttempt, Log
-from sesamespoke.store import KeyStore
 from sesamespoke.timeline import Timeline
 
 CRASHES_TO_REFUSE = 3
@@ -45,7 +45,7 @@
     timeline: Timeline
     clock: Callable[[], float]
     log: Log
-    store: KeyStore
+    store: PlatformStore
     is_refusing: IsRefusing = refuses_connections
 
 
--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
@@ -17,6 +17,9 @@
 LEAVING_SECONDS = 600.0
 """Time for which it is remembered that an endpoint is leaving; it may be listed
 as ready until it has gone."""
+DEPARTED_SECONDS = 60.0
+"""Time for which a departed endpoint is remembered; a copy of the store is some
+seconds old."""
 RETURN_COLD_SECONDS = 2.5
 """Time for which endpoints of a data centre that is back in service count as
 cold. Endpoints report a cold start only with their next heartbeat, and the
@@ -29,7 +32,8 @@
 
     ``cold_until`` is a time on the event loop's clock. ``born`` identifies
     the incarnation: it differs when an endpoint of the same name restarts.
-    A ``leaving`` endpoint gets no new work.
+    A ``leaving`` endpoint gets no new work. ``revision`` is that of its entry
+    in the store, which changes with each of the endpoint's heartbeats.
     """
 
     name: str
@@ -40,6 +44,7 @@
     leaving: bool = False
     cold_until: float = 0
     born: int = 0
+    revision: int = field(default=0, compare=False)
 
     @property
     def url(self) -> str:
@@ -49,15 +54,55 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All endpoints listed at one revision of the store."""
+    """All endpoints listed at one revision of one era of the store."""
 
     revision: int
     endpoints: tuple[ListedEndpoint, ...]
+    era: int = 0
 
 
 Listeners = list[Callable[['Directory'], None]]
 
 
+class OutdatedEntries:
+    """Entries in a copy of the store that are older than what is known.
+
+    An entry of an endpoint that had departed or was leaving counts again
+    once its endpoint has written it anew.
+    """
+
+    def __init__(
+        self,
+        listing: Listing | None = None,
+        departed: frozenset[tuple[str, int]] = frozenset(),
+        leaving: frozenset[tuple[str, int]] = frozenset(),
+    ) -> None:
+        """Note the revisions of such entries in the first list of an era."""
+        endpoints = listing.endpoints if listing else ()
+        self._leaving = leaving
+        self._revisions = {
+            (each.name, each.born): each.revision
+            for each in endpoints
+            if (each.name, each.born) in departed | leaving
+        }
+
+    def filter(self, listing: Listing) -> Listing:
+        """Return a list without these entries, or with them as leaving."""
+        if not self._revisions:
+            return listing
+        endpoints = filter(None, map(self._read, listing.endpoints))
+        return replace(listing, endpoints=tuple(endpoints))
+
+    def _read(self, endpoint: ListedEndpoint) -> ListedEndpoint | None:
+        key = (endpoint.name, endpoint.born)
+        if self._revisions.get(key) != endpoint.revision:
+            self._revisions.pop(key, None)
+            return endpoint
+        if key in self._leaving:
+            return replace(endpoint, leaving=True)
+        return None
+
+
 class Directory:
     """The listed endpoints, and the data centres out of service.
 
@@ -70,12 +115,15 @@
         self.evacuated: frozenset[str] = frozenset()
         self.listeners: Listeners = []
         self.listed_at: float = float('-inf')
+        self.era = 0
         self.revision = 0
         self.digest = 0
         self._clock = clock
         self._relist_grace_until: float = 0
         self._retained: frozenset[str] = frozenset()
         self._said_leaving: dict[tuple[str, int], float] = {}
+        self._departed: dict[tuple[str, int], float] = {}
+        self._outdated = OutdatedEntries()
         self._returned_at: dict[str, float] = {}
         self._usable_by_service: dict[str, tuple[ListedEndpoint, ...]] = {}
 
@@ -84,10 +132,20 @@
 
         A list of an older revision is ignored if it was requested before
         the current one arrived: it would bring back endpoints that have
-        been removed since.
+        been removed since. So is one of an older era of the store. The list
+        of a newer era may hold entries of endpoints that have left since;
+        they count only once the endpoint has written again.
         """
-        if listing.revision < self.revision and requested_at <= self.listed_at:
+        if listing.era < self.era:
             return
+        is_restored = listing.era > self.era and self.era > 0
+        is_older = listing.revision < self.revision and not is_restored
+        if is_older and requested_at <= self.listed_at:
+            return
+        if is_restored:
+            self._expect_restored_entries(listing)
+        listing = self._outdated.filter(listing)
+        self.era = listing.era
         fresh = {endpoint.name: endpoint for endpoint in listing.endpoints}
         self.revision = listing.revision
         self.digest = _digest_of(listing.endpoints)
@@ -97,6 +155,7 @@
             self._retain_missing(fresh)
         self.listed_at = now
         if fresh != self.endpoints:
+            self._note_departed(fresh)
             self.endpoints = fresh
             self._notify_listeners()
 
@@ -108,11 +167,13 @@
         self.revision = max(self.revision, revision)
         self.listed_at = self._clock()
         if self._retained and self.listed_at >= self._relist_grace_until:
-            self.endpoints = {
+            fresh = {
                 name: endpoint
                 for name, endpoint in self.endpoints.items()
                 if name not in self._retained
             }
+            self._note_departed(fresh)
+            self.endpoints = fresh
             self._retained = frozenset()
             self._notify_listeners()
 
@@ -189,6 +250,41 @@
         cold_until = max(endpoint.cold_until, returned_at + RETURN_COLD_SECONDS)
         return self._clock() < cold_until
 
+    def listing(self) -> Listing:
+        """Return the list in use, without what it only lacks for a while."""
+        listed = (
+            endpoint
+            for name, endpoint in self.endpoints.items()
+            if name not in self._retained
+        )
+        return Listing(self.revision, tuple(listed), self.era)
+
+    def _expect_restored_entries(self, listing: Listing) -> None:
+        """Prepare for the first list after the store came back from a copy."""
+        self.note_outage()
+        leaving = (
+            (each.name, each.born)
+            for each in self.endpoints.values()
+            if each.leaving
+        )
+        self._outdated = OutdatedEntries(
+            listing, frozenset(self._departed), frozenset(leaving)
+        )
+
+    def _note_departed(self, fresh: Mapping[str, ListedEndpoint]) -> None:
+        """Remember the endpoints that a list no longer names."""
+        now = self._clock()
+        gone = {
+            (name, endpoint.born): now
+            for name, endpoint in self.endpoints.items()
+            if name not in fresh or fresh[name].born != endpoint.born
+        }
+        self._departed = {
+            key: at
+            for key, at in {**self._departed, **gone}.items()
+            if now - at < DEPARTED_SECONDS
+        }
+
     def _is_leaving(self, endpoint: ListedEndpoint) -> bool:
         key = (endpoint.name, endpoint.born)
         return endpoint.leaving or key in self._said_leaving
--- a/src/sesamespoke/serving/endpoint_list_sharing.py
+++ b/src/sesamespoke/serving/endpoint_list_sharing.py
@@ -20,6 +20,7 @@
     Listing,
 )
 from sesamespoke.serving.peer_loads import Broadcaster
+from sesamespoke.serving.store_era import StoreEra
 
 READER_TIMEOUT_INTERVALS = 1.6
 """Polling intervals without an update after which any router reads."""
@@ -31,8 +32,11 @@
 class EndpointListSharing:
     """Publishes endpoint lists to local peers and applies theirs."""
 
-    def __init__(self, links: Broadcaster, directory: Directory) -> None:
+    def __init__(
+        self, links: Broadcaster, directory: Directory, era: StoreEra
+    ) -> None:
         """Subscribe to the lists that readers publish."""
+        self._era = era
         self.on_operator_config_mismatch: Callable[[], None] = _ignore_mismatch
         self.operator_config_digest: Callable[[], int] = int
         self._links = links
@@ -55,13 +59,14 @@
         )
         return is_overdue or self.is_reader()
 
-    def publish(self, listing: Listing) -> None:
-        """Send a list to the local peers if this router is the reader.
+    def publish(self) -> None:
+        """Send the list in use to the local peers if this is the reader.
 
         An unchanged list is usually sent as its digest alone.
         """
         if not self.is_reader():
             return
+        listing = self._directory.listing()
         self._publications += 1
         digest = self._directory.digest
         is_full = (
@@ -72,6 +77,7 @@
         now = asyncio.get_running_loop().time()
         rows = (_encode_row(each, now) for each in listing.endpoints)
         message = EndpointList(
+            listing.era,
             listing.revision,
             digest,
             self.operator_config_digest(),
@@ -80,15 +86,23 @@
         self._links.broadcast_local(message)
 
     def _receive(self, sender: str, message: EndpointList) -> None:
-        if message.revision < self._directory.revision:
+        known = (self._directory.era, self._directory.revision)
+        if (message.era, message.revision) < known:
             return
+        if message.era > self._era.number:
+            self._era.observe(message.era, sender)
         if message.orders != self.operator_config_digest():
             self.on_operator_config_mismatch()
         if message.rows:
             now = asyncio.get_running_loop().time()
             endpoints = tuple(_decode_row(row, now) for row in message.rows)
-            self._directory.replace(Listing(message.revision, endpoints))
-        elif message.digest == self._directory.digest:
+            self._directory.replace(
+                Listing(message.revision, endpoints, message.era)
+            )
+        elif (
+            message.digest == self._directory.digest
+            and message.era == self._directory.era
+        ):
             self._directory.confirm(message.revision)
 
 
@@ -103,11 +117,12 @@
         endpoint.leaving,
         round(cold_seconds * MS_PER_SECOND),
         endpoint.born,
+        endpoint.revision,
     )
 
 
 def _decode_row(row: EndpointRow, now: float) -> ListedEndpoint:
-    *texts, slots, leaving, cold_ms, born = row
+    *texts, slots, leaving, cold_ms, born, revision = row
     name, service, address, data_centre = texts
     cold_until = now + cold_ms / MS_PER_SECOND if cold_ms else 0
     return ListedEndpoint(
@@ -119,6 +134,7 @@
         leaving,
         cold_until,
         born,
+        revision,
     )
 
 
--- a/src/sesamespoke/serving/platform_interface.py
+++ b/src/sesamespoke/serving/platform_interface.py
@@ -6,6 +6,7 @@
 
 from sesamespoke.serving.catalog import Catalog
 from sesamespoke.serving.directory import Listing
+from sesamespoke.serving.store_era import StoreEra
 from sesamespoke.store import Entry, KeyStore, StoreUnavailable
 
 
@@ -28,11 +29,19 @@
 OperatorUpdate = Catalog | Evacuation | BadEntry | StoreUnavailable
 
 
+class PlatformStore(KeyStore, Protocol):
+    """A store that tells when it has come back from a copy."""
+
+    @property
+    def era(self) -> StoreEra:
+        """Return the era of the store, as far as it is known."""
+
+
 class Feeds(Protocol):
     """Reads the platform's entries and decodes them."""
 
     @property
-    def store(self) -> KeyStore:
+    def store(self) -> PlatformStore:
         """Return the client for the keys that the fleet itself writes."""
 
     async def list_endpoints(
--- a/src/sesamespoke/serving/platform_sync.py
+++ b/src/sesamespoke/serving/platform_sync.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing, suppress
 from dataclasses import dataclass
@@ -23,6 +24,10 @@
     count_by_service,
 )
 from sesamespoke.serving.endpoint_list_sharing import EndpointListSharing
+from sesamespoke.serving.host_registration import (
+    HOST_PREFIX,
+    HostRegistration,
+)
 from sesamespoke.serving.platform_interface import (
     BadEntry,
     Evacuation,
@@ -32,9 +37,11 @@
 from sesamespoke.serving.serving_dependencies import Log
 from sesamespoke.serving.settings import ServingSettings
 from sesamespoke.settings import Address
-from sesamespoke.store import Entry, Lease, Put, StoreUnavailable
+from sesamespoke.store import Entry, StoreUnavailable
 
-HOST_PREFIX = 'sesamespoke/hosts/'
+RESTORE_GRACE_SECONDS = 5.0
+"""Time in which operators and hosts write their entries again after the store
+has come back from a copy; what the copy lacks stands until then."""
 RETRY_SECONDS = 0.3
 """Delay before a failed store call is retried."""
 
@@ -101,7 +108,10 @@
         self._watch_task: asyncio.Task[None] | None = None
         self._watch_restarted_at: float = 0
         self._log = log
-        self._lease: Lease | None = None
+        self._registration = HostRegistration(cfg, feeds.store, log)
+        self._restored_at: float = -math.inf
+        self._doubtful: set[str] = set()
+        feeds.store.era.listeners.append(self._recover)
         self._known_endpoints: dict[str, ListedEndpoint] = {}
         directory.listeners.append(self._log_endpoint_changes)
 
@@ -111,7 +121,7 @@
             self._follow_orders,
             self._follow_endpoints,
             self._follow_hosts,
-            self._announce,
+            self._registration.run,
         )
         return [
             asyncio.create_task(self._run_with_restarts(loop)) for loop in loops
@@ -176,23 +186,51 @@
         self._watch_restarted_at = now
         self._watch_task.cancel()
 
+    def _recover(self) -> None:
+        """Read anew what a store from a copy may lack."""
+        loop = asyncio.get_running_loop()
+        self._restored_at = loop.time()
+        if self._watch_task is not None:
+            self._watch_task.cancel()
+        loop.call_later(RESTORE_GRACE_SECONDS, self._end_grace)
+
+    def _is_restoring(self) -> bool:
+        """Return whether operators may still be writing their entries anew."""
+        now = asyncio.get_running_loop().time()
+        return now - self._restored_at < RESTORE_GRACE_SECONDS
+
+    def _end_grace(self) -> None:
+        """Believe that evacuations which are still missing have ended."""
+        if self._is_restoring():
+            return
+        for name in sorted(self._doubtful):
+            self._set_evacuation(Evacuation(name, in_service=True))
+        self._doubtful.clear()
+
     def _apply_update(self, update: OperatorUpdate) -> None:
         if isinstance(update, BadEntry):
             self._log('entry_ignored', key=update.key, why=update.why)
         elif isinstance(update, Catalog):
             self._activate_catalog(update)
         elif isinstance(update, Evacuation):
-            names = {update.data_centre}
-            others = self.operator_config.evacuated - names
-            self.operator_config.evacuated = (
-                others if update.in_service else others | names
-            )
-            self._directory.set_evacuated(self.operator_config.evacuated)
-            self._log(
-                'data_centre_in_service',
-                name=update.data_centre,
-                in_service=update.in_service,
-            )
+            self._doubtful.discard(update.data_centre)
+            if update.in_service and self._is_restoring():
+                self._doubtful.add(update.data_centre)
+            else:
+                self._set_evacuation(update)
+
+    def _set_evacuation(self, update: Evacuation) -> None:
+        names = {update.data_centre}
+        others = self.operator_config.evacuated - names
+        self.operator_config.evacuated = (
+            others if update.in_service else others | names
+        )
+        self._directory.set_evacuated(self.operator_config.evacuated)
+        self._log(
+            'data_centre_in_service',
+            name=update.data_centre,
+            in_service=update.in_service,
+        )
 
     def _activate_catalog(self, catalog: Catalog) -> None:
         """Put a catalog in force unless it is no newer than the current."""
@@ -225,7 +263,7 @@
                 continue
             store.record_result(None)
             self._directory.replace(listed, requested_at)
-            self._list_sharing.publish(listed)
+            self._list_sharing.publish()
             await asyncio.sleep(interval)
 
     def _log_endpoint_changes(self, directory: Directory) -> None:
@@ -258,7 +296,10 @@
             listed = await self._feeds.list_hosts(HOST_PREFIX)
             if not isinstance(listed, StoreUnavailable):
                 known = filter(None, map(self._read_host, listed))
-                self._hosts.put_hosts({each.host: each for each in known})
+                hosts = {each.host: each for each in known}
+                if self._is_restoring():
+                    hosts = {**self._hosts.hosts, **hosts}
+                self._hosts.put_hosts(hosts)
             await asyncio.sleep(self._host_poll_interval())
 
     def _read_host(self, entry: Entry) -> KnownHost | None:
@@ -279,46 +320,6 @@
             else feeds.non_reader_hosts
         )
 
-    async def _announce(self) -> None:
-        """Keep this host registered in the store under a lease."""
-        while True:
-            if await self._renew_registration():
-                await asyncio.sleep(self._cfg.feeds.lease / 3)
-            else:
-                await asyncio.sleep(RETRY_SECONDS)
-
-    async def _renew_registration(self) -> bool:
-        store = self._feeds.store
-        if self._lease is not None:
-            renewed = await store.renew_lease(self._lease)
-            if isinstance(renewed, Lease):
-                self._lease = renewed
-                return True
-            if isinstance(renewed, StoreUnavailable):
-                return False
-        lease = await store.grant_lease(self._cfg.feeds.lease)
-        if isinstance(lease, StoreUnavailable):
-            return False
-        put = Put(
-            self._registration_key(), self._registration_value(), lease.number
-        )
-        written = await store.transact((), (put,))
-        if isinstance(written, StoreUnavailable):
-            return False
-        self._lease = lease
-        return True
-
-    def _registration_key(self) -> str:
-        return HOST_PREFIX + self._cfg.host
-
-    def _registration_value(self) -> bytes:
-        row = {
-            'host': self._cfg.host,
-            'data_centre': self._cfg.data_centre,
-            'peers': str(self._cfg.peers),
-        }
-        return json.dumps(row).encode()
-
 
 def _read_host(content: bytes) -> KnownHost | None:
     """Decode a host entry; return None if it is malformed."""
--- a/src/sesamespoke/serving/quarantine_records.py
+++ b/src/sesamespoke/serving/quarantine_records.py
@@ -21,8 +21,9 @@
 )
 from sesamespoke.links import Links
 from sesamespoke.placement import rank_hosts
+from sesamespoke.serving.platform_interface import PlatformStore
 from sesamespoke.serving.serving_dependencies import Log
-from sesamespoke.store import Delete, Entry, KeyStore, Put, StoreUnavailable
+from sesamespoke.store import Delete, Entry, Put, StoreUnavailable
 
 RECORD_PREFIX = 'sesamespoke/quarantine/'
 PART_PREFIX = f'{RECORD_PREFIX}part/'
@@ -77,7 +78,7 @@
 
     def __init__(
         self,
-        store: KeyStore,
+        store: PlatformStore,
         links: Links,
         current: Callable[[], Iterable[Record]],
         log: Log,
@@ -92,6 +93,7 @@
         self._removed: set[str] = set()
         self._found_here: set[str] = set()
         self._changed = asyncio.Event()
+        store.era.listeners.append(self._write_again)
 
     def update(self, found_here: Record | None = None) -> None:
         """Write soon what has changed.
@@ -102,6 +104,11 @@
             self._found_here.add(found_here.key)
         self._changed.set()
 
+    def _write_again(self) -> None:
+        """Write all records again, since the store may have lost them."""
+        self._written.clear()
+        self._changed.set()
+
     def remove(self, record: Record) -> None:
         """Remove a record soon, whichever host has written it."""
         self._removed.add(record.key)
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -68,13 +68,14 @@
         self.fleet_size = FleetSize(
             self.peers, self.peers.host_list, self._clock, log.info
         )
+        feeds.store.era.report_to(self.metrics, log.info)
         self.directory = Directory(self._clock)
         self.platform_sync = PlatformSync(
             cfg,
             feeds,
             self.directory,
             self.peers.host_list,
-            EndpointListSharing(self.peers, self.directory),
+            EndpointListSharing(self.peers, self.directory, feeds.store.era),
             log.info,
         )
         self.chooser = Chooser(
--- a/tests/support_platform.py
+++ b/tests/support_platform.py
@@ -25,6 +25,17 @@
     lease: int = 0
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store held when it was copied."""
+
+    items: dict[str, 'Item']
+    log: list[dict[str, Any]]
+    revision: int
+    leases: dict[int, set[str]]
+    granted: int
+
+
 @dataclass
 class StoreStandIn:
     """The platform's key-value service, without its rate limits.
@@ -33,6 +44,8 @@
     responds to none; ``drop_history`` responds to watches with 410. Lists
     omit keys that begin with ``hidden_prefix``, as a stale read does shortly
     after they were written. ``garbled`` replaces the body of every response.
+    ``era`` is told in every response, unless it is None. The responses to
+    calls whose path begins with ``held_path`` wait for ``held``.
     """
 
     items: dict[str, Item] = field(default_factory=dict)
@@ -45,7 +58,11 @@
     hidden_prefix: str | None = None
     garbled: dict[str, Any] | None = None
     granted: int = -1
+    era: str | None = None
+    held: asyncio.Event | None = None
+    held_path: str = ''
     page_size: int = 500
+    cut_watches: int = 0
     calls: list[str] = field(default_factory=list)
     queries: list[dict[str, str]] = field(default_factory=list)
 
@@ -59,6 +76,30 @@
     def stop(self) -> None:
         self._server.stop()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store holds now."""
+        return StoreCopy(
+            dict(self.items),
+            list(self.log),
+            self.revision,
+            {number: set(keys) for number, keys in self.leases.items()},
+            self.granted,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, as another era; waiting watches are cut."""
+        self.items = dict(copy.items)
+        self.log = list(copy.log)
+        self.revision = copy.revision
+        self.leases = {
+            number: set(keys) for number, keys in copy.leases.items()
+        }
+        self.granted = copy.granted
+        self.era = str(int(self.era or 0) + 1)
+        self.cut_watches += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def put(self, key: str, content: bytes | dict[str, Any]) -> None:
         raw = content if isinstance(content, bytes) else json.dumps(content)
         encoded = raw if isinstance(raw, bytes) else raw.encode()
@@ -114,12 +155,16 @@
             self, f'do_{name.replace("-", "_")}'
         )
         last = parts.path.rpartition('/')[2]
-        self.answer(request, *await handle(query, body, last))
+        status, content = await handle(query, body, last)
+        era = self.era
+        if self.held is not None and parts.path.startswith(self.held_path):
+            await self.held.wait()
+        send(request, status, content, era)
 
     def answer(
         self, request: HTTPServerRequest, status: int, content: dict[str, Any]
     ) -> None:
-        send(request, status, content)
+        send(request, status, content, self.era)
 
     async def do_kv_key(self, query: Any, body: Any, last: str) -> Response:
         key = query['key']
@@ -146,7 +191,9 @@
         if self.drop_history:
             return 410, {}
         after, prefix = int(query['after_revision']), query['prefix']
-        changed = self._changed
+        if after > self.revision:
+            return 410, {}
+        changed, cut = self._changed, self.cut_watches
         events = self._events(prefix, after)
         if not events:
             wait = int(query['wait_ms']) / 1000
@@ -154,6 +201,8 @@
                 async with asyncio.timeout(wait):
                     while not events:
                         await changed.wait()
+                        if cut != self.cut_watches:
+                            return 503, {}
                         changed = self._changed
                         events = self._events(prefix, after)
             except TimeoutError:
@@ -204,10 +253,15 @@
 
 
 def send(
-    request: HTTPServerRequest, status: int, content: dict[str, Any]
+    request: HTTPServerRequest,
+    status: int,
+    content: dict[str, Any],
+    era: str | None = None,
 ) -> None:
     body = json.dumps(content).encode()
     headers = HTTPHeaders({'Content-Length': str(len(body))})
+    if era is not None:
+        headers['Store-Era'] = era
     conn = request.connection
     assert conn is not None
     conn.write_headers(ResponseStartLine('HTTP/1.1', status, ''), headers, body)
--- a/tests/support_store.py
+++ b/tests/support_store.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncGenerator, Callable, Sequence
 
+from sesamespoke.serving.store_era import StoreEra
 from sesamespoke.store import (
     Absent,
     Committed,
@@ -30,6 +31,7 @@
     """
 
     def __init__(self) -> None:
+        self.era = StoreEra()
         self.revision = 1
         self.entries: dict[str, Entry] = {}
         self.is_out = False
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -8,7 +8,7 @@
 from support_platform import ReceivedRequest, Writer, head_bytes, respond_ok
 from support_routed import CFG, Fleet, run_with_fleet, wait_until
 
-from sesamespoke.serving.platform_sync import HOST_PREFIX
+from sesamespoke.serving.host_registration import HOST_PREFIX
 from sesamespoke.serving.retry_budget import RetryBounds
 
 BOUNDS = RetryBounds(ratio=0.2, window=10, slack=30)
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -32,8 +32,8 @@
 
 from sesamespoke.request_server import KEPT_FRACTION
 from sesamespoke.serving.directory import Directory
+from sesamespoke.serving.host_registration import HOST_PREFIX
 from sesamespoke.serving.loop_lag import HIGH_DELAY_SAMPLES, HIGH_DELAY_SECONDS
-from sesamespoke.serving.platform_sync import HOST_PREFIX
 
 
 def test_response_is_relayed_completely_with_its_seal() -> None:
--- a/tests/test_serving_endpoint_list_sharing.py
+++ b/tests/test_serving_endpoint_list_sharing.py
@@ -19,6 +19,7 @@
     READER_TIMEOUT_INTERVALS,
     EndpointListSharing,
 )
+from sesamespoke.serving.store_era import StoreEra
 
 INTERVAL = 0.8
 HOSTS = tuple(f'host-{number}' for number in range(20))
@@ -52,7 +53,7 @@
     def __post_init__(self) -> None:
         self.network.nodes[self.host] = self
         self.directory = Directory(asyncio.get_running_loop().time)
-        self.sharing = EndpointListSharing(self, self.directory)
+        self.sharing = EndpointListSharing(self, self.directory, StoreEra())
 
     @property
     def view(self) -> View:
@@ -89,7 +90,7 @@
     ) -> None:
         listing = Listing(revision, endpoints)
         self.directory.replace(listing)
-        self.sharing.publish(listing)
+        self.sharing.publish()
 
 
 def make_nodes() -> tuple[list[Node], list[Node]]:
