Tell routers that start after a restore what the store's copy lacks

What callers would see: a router that starts after the store came back from a copy serves keys that were revoked since the copy was made, and sends to data centres that operators had taken out. Cause: routers read operators' entries from the store alone. Change: after a restore, and until the store holds as new a configuration again, routers tell those that connect the version in force and the evacuated data centres; who has an older one asks for a copy.

--- a/src/sesamespoke/platform/feeds.py
+++ b/src/sesamespoke/platform/feeds.py
@@ -11,6 +11,7 @@
 from sesamespoke.checked_fields import MALFORMED, is_finite
 from sesamespoke.platform.kv_store import KvStore, WatchTimeout
 from sesamespoke.platform.operator_config import read_catalog
+from sesamespoke.serving.catalog import Catalog
 from sesamespoke.serving.directory import ListedEndpoint, Listing
 from sesamespoke.serving.platform_interface import (
     BadEntry,
@@ -79,6 +80,10 @@
         listed = await self.store.scan_with_revision(prefix, stale=True)
         return listed if isinstance(listed, StoreUnavailable) else listed[0]
 
+    def read_config(self, content: bytes) -> Catalog | BadEntry:
+        """Decode a configuration that another router has passed on."""
+        return _read_config(content)
+
     async def watch_operator_entries(
         self, wait: WatchTimeout
     ) -> AsyncGenerator[OperatorUpdate]:
@@ -152,7 +157,11 @@
         return Evacuation(data_centre, in_service=isinstance(change, Absent))
     if change.key != CONFIG_KEY or isinstance(change, Absent):
         return None
-    catalog = read_catalog(change.content)
-    if isinstance(catalog, str):
-        return BadEntry(change.key, catalog)
-    return catalog
+    return _read_config(change.content)
+
+
+def _read_config(content: bytes) -> Catalog | BadEntry:
+    catalog = read_catalog(content)
+    return (
+        BadEntry(CONFIG_KEY, catalog) if isinstance(catalog, str) else catalog
+    )
--- a/src/sesamespoke/platform/operator_config.py
+++ b/src/sesamespoke/platform/operator_config.py
@@ -1,6 +1,7 @@
 """Decodes the operators' configuration, a JSON entry of the store."""
 
 import json
+from dataclasses import replace
 from types import MappingProxyType
 
 from sesamespoke.checked_fields import (
@@ -45,7 +46,7 @@
     """Return the decoded configuration, or why it is malformed."""
     try:
         fields = json.loads(content)
-        return _read_fields(fields)
+        return replace(_read_fields(fields), source=content)
     except MALFORMED as exc:
         return f'{type(exc).__name__}: {exc}'
 
--- a/src/sesamespoke/routing_messages.py
+++ b/src/sesamespoke/routing_messages.py
@@ -64,6 +64,39 @@
     born: int
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorEntries:
+    """Operator entries in force at a router that the store may have lost.
+
+    ``version`` is that of the configuration, ``evacuated`` names the data
+    centres that are to get no work.
+    """
+
+    version: int
+    evacuated: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRequest:
+    """Asks a router for its configuration, of this version or a later one."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigCopy:
+    """The configuration in force at the sender, as operators wrote it."""
+
+    version: int
+    content: bytes
+
+
+ConfigMessage = OperatorEntries | ConfigRequest | ConfigCopy
 RoutingMessage = (
-    RouterLoads | SiteLoads | EndpointList | EndpointLeaves | CrashMessage
+    RouterLoads
+    | SiteLoads
+    | EndpointList
+    | EndpointLeaves
+    | ConfigMessage
+    | CrashMessage
 )
--- a/src/sesamespoke/serving/catalog.py
+++ b/src/sesamespoke/serving/catalog.py
@@ -110,7 +110,7 @@
     ``routes`` are listed by host, longest prefix first; ``keys`` maps API
     keys to accounts. ``token_rate`` is the combined capacity of all model
     engines in tokens per second, with a generated token counted twice; 0 if
-    not configured.
+    not configured. ``source`` is the configuration as operators wrote it.
     """
 
     version: int
@@ -119,6 +119,7 @@
     keys: Mapping[str, Tenancy] = field(default_factory=_no_accounts)
     limits: CallerLimits = CallerLimits()
     token_rate: float = 0
+    source: bytes = field(default=b'', compare=False, repr=False)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches a path."""
--- a/src/sesamespoke/serving/platform_interface.py
+++ b/src/sesamespoke/serving/platform_interface.py
@@ -55,6 +55,9 @@
     ) -> tuple[Entry, ...] | StoreUnavailable:
         """Read the entries that hosts write; they may be seconds old."""
 
+    def read_config(self, content: bytes) -> Catalog | BadEntry:
+        """Decode a configuration that another router has passed on."""
+
     def watch_operator_entries(
         self,
         wait: Callable[[], float],
--- a/src/sesamespoke/serving/platform_sync.py
+++ b/src/sesamespoke/serving/platform_sync.py
@@ -18,6 +18,7 @@
 from sesamespoke.checked_fields import MALFORMED
 from sesamespoke.host_list import HostList, KnownHost
 from sesamespoke.serving.catalog import Catalog
+from sesamespoke.serving.config_sharing import ConfigSharing
 from sesamespoke.serving.directory import (
     Directory,
     ListedEndpoint,
@@ -28,6 +29,7 @@
     HOST_PREFIX,
     HostRegistration,
 )
+from sesamespoke.serving.peer_loads import Broadcaster
 from sesamespoke.serving.platform_interface import (
     BadEntry,
     Evacuation,
@@ -42,6 +44,7 @@
 RESTORE_GRACE_SECONDS = 5.0
 """Time in which operators and hosts write their entries again after the store
 has come back from a copy; what the copy lacks stands until then."""
+TIMER_SLACK_SECONDS = 0.05
 RETRY_SECONDS = 0.3
 """Delay before a failed store call is retried."""
 
@@ -91,6 +94,7 @@
         cfg: ServingSettings,
         feeds: Feeds,
         directory: Directory,
+        links: Broadcaster,
         hosts: HostList,
         list_sharing: EndpointListSharing,
         log: Log,
@@ -112,6 +116,14 @@
         self._restored_at: float = -math.inf
         self._doubtful: set[str] = set()
         feeds.store.era.listeners.append(self._recover)
+        self._config_sharing = ConfigSharing(
+            links,
+            feeds.store.era,
+            self.operator_config,
+            list_sharing.is_reader,
+        )
+        self._config_sharing.on_config = self._adopt_config
+        self._config_sharing.on_evacuated = self._adopt_evacuations
         self._known_endpoints: dict[str, ListedEndpoint] = {}
         directory.listeners.append(self._log_endpoint_changes)
 
@@ -188,11 +200,9 @@
 
     def _recover(self) -> None:
         """Read anew what a store from a copy may lack."""
-        loop = asyncio.get_running_loop()
-        self._restored_at = loop.time()
+        self._begin_grace()
         if self._watch_task is not None:
             self._watch_task.cancel()
-        loop.call_later(RESTORE_GRACE_SECONDS, self._end_grace)
 
     def _is_restoring(self) -> bool:
         """Return whether operators may still be writing their entries anew."""
@@ -211,6 +221,7 @@
         if isinstance(update, BadEntry):
             self._log('entry_ignored', key=update.key, why=update.why)
         elif isinstance(update, Catalog):
+            self._config_sharing.note_stored(update.version)
             self._activate_catalog(update)
         elif isinstance(update, Evacuation):
             self._doubtful.discard(update.data_centre)
@@ -219,6 +230,28 @@
             else:
                 self._set_evacuation(update)
 
+    def _adopt_config(self, content: bytes) -> None:
+        """Put a configuration in force that the store may have lost."""
+        catalog = self._feeds.read_config(content)
+        if isinstance(catalog, BadEntry):
+            self._log('entry_ignored', key=catalog.key, why=catalog.why)
+        else:
+            self._activate_catalog(catalog)
+
+    def _adopt_evacuations(self, names: frozenset[str]) -> None:
+        """Send nothing to data centres that the store may have forgotten."""
+        self._begin_grace()
+        for name in sorted(names):
+            self._set_evacuation(Evacuation(name, in_service=False))
+            self._doubtful.add(name)
+
+    def _begin_grace(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._restored_at = loop.time()
+        loop.call_later(
+            RESTORE_GRACE_SECONDS + TIMER_SLACK_SECONDS, self._end_grace
+        )
+
     def _set_evacuation(self, update: Evacuation) -> None:
         names = {update.data_centre}
         others = self.operator_config.evacuated - names
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -74,6 +74,7 @@
             cfg,
             feeds,
             self.directory,
+            self.peers,
             self.peers.host_list,
             EndpointListSharing(self.peers, self.directory, feeds.store.era),
             log.info,
--- a/tests/support_platform.py
+++ b/tests/support_platform.py
@@ -63,15 +63,16 @@
     held_path: str = ''
     page_size: int = 500
     cut_watches: int = 0
+    port: int = 0
     calls: list[str] = field(default_factory=list)
     queries: list[dict[str, str]] = field(default_factory=list)
 
     def start(self) -> Address:
-        sock, port = bind_unused_port()
+        sock, self.port = bind_unused_port()
         self._changed = asyncio.Event()
         self._server = HTTPServer(self._handle_request)
         self._server.add_socket(sock)
-        return Address('127.0.0.1', port)
+        return Address('127.0.0.1', self.port)
 
     def stop(self) -> None:
         self._server.stop()
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -1,6 +1,8 @@
 """A store that comes back from a copy, some seconds older than it was."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 from dataclasses import replace
 from typing import Any
 
@@ -8,11 +10,16 @@
 from support_platform import CONFIG, StoreStandIn, respond_ok, server_entry
 from support_routed import CFG, Fleet, run_with_fleet, wait_until
 from support_serving_jobs import ENGINE, Clock, endpoints_of
+from tornado.testing import bind_unused_port
 
+from sesamespoke.platform.feeds import PlatformFeeds
+from sesamespoke.platform.headers import HEADER_NAMES, read_head
 from sesamespoke.platform.kv_store import KvStore
 from sesamespoke.serving.directory import Directory, Listing
 from sesamespoke.serving.host_registration import HOST_PREFIX
 from sesamespoke.serving.platform_sync import RESTORE_GRACE_SECONDS
+from sesamespoke.serving.router import RoutedRouter
+from sesamespoke.settings import Address
 from sesamespoke.store import Committed, Entry, StoreUnavailable
 
 EVACUATION = 'op/evacuate/north'
@@ -159,6 +166,58 @@
     run_with_fleet(steps)
 
 
+def free_address() -> Address:
+    sock, port = bind_unused_port()
+    sock.close()
+    return Address('127.0.0.1', port)
+
+
+@contextlib.asynccontextmanager
+async def open_second_router(fleet: Fleet) -> AsyncIterator[RoutedRouter]:
+    """Yield another router that starts now, with peer streams to the first."""
+    cfg = replace(CFG, host='frontend-north-2', peers=free_address())
+    client = KvStore(Address('127.0.0.1', fleet.store.port))
+    router = RoutedRouter(cfg, PlatformFeeds(client), HEADER_NAMES, read_head)
+    task = asyncio.create_task(router.run())
+    try:
+        yield router
+    finally:
+        router.stop.begin()
+        await task
+        client.close()
+
+
+@pytest.mark.parametrize('is_evacuated', [True, False])
+def test_router_that_starts_after_a_restore_learns_what_the_copy_lacks(
+    is_evacuated: bool,
+) -> None:
+    async def steps(fleet: Fleet) -> None:
+        await begin_era(fleet)
+        await wait_until(lambda: OWN_KEY in fleet.store.items)
+        copy = fleet.store.copy()
+        without = [{'name': 'acme', 'api_keys': ['key-2'], 'priority': 1}]
+        fleet.store.put('op/config', config(9, tenants=without))
+        if is_evacuated:
+            fleet.store.put(EVACUATION, b'{}')
+        zones = {'north'} if is_evacuated else set()
+        directory = fleet.router.directory
+        await wait_until(lambda: directory.evacuated == zones)
+        await wait_until(lambda: version_of(fleet) == 9)
+        fleet.store.restore(copy)
+        await wait_until(lambda: fleet.client.era.number == 2)
+        async with open_second_router(fleet) as router:
+            view = router.platform_sync.operator_config
+            await wait_until(lambda: view.catalog is not None)
+            await wait_until(
+                lambda: view.catalog is not None and view.catalog.version == 9
+            )
+            assert view.catalog is not None
+            assert 'key-1' not in view.catalog.keys
+            await wait_until(lambda: router.directory.evacuated == zones)
+
+    run_with_fleet(steps, replace(CFG, peers=free_address()))
+
+
 def run_with_store(steps: Any) -> None:
     async def run() -> None:
         stand_in = StoreStandIn()
