--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -99,6 +99,8 @@
         self.revision = 1
         self.leases: dict[int, tuple[float, float]] = {}
         self.era: int | None = None
+        self.waits: dict[str, float] = {}
+        """Seconds of the newest watch at each of its addresses."""
         self.silent: set[asyncio.StreamWriter] = set()
         self.is_away = False
         self._writers: set[asyncio.StreamWriter] = set()
@@ -183,6 +185,10 @@
                 break
             line, _, body = message
             method, target, _ = line.split()
+            if '/kv-watch' in target:
+                ip = writer.get_extra_info('sockname')[0]
+                query = parse_qs(urlsplit(target).query)
+                self.waits[ip] = int(query['wait_ms'][0]) / 1000
             status, content = await self._call(method, target, body)
             if writer in self.silent:
                 continue
@@ -610,7 +616,8 @@
         self, routers: int, cfg: dict, engines: list[tuple]
     ) -> None:
         """Start everything; return once all routers have been ready a while."""
-        await self.store.start()
+        ips = [f'{self.net}.{1 + number}' for number in range(1, routers + 1)]
+        await self.store.start(*(f'{ip}:{STORE_PORT}' for ip in ips))
         self.store.put('op/config', cfg)
         for number, (name, service, slots, handler, *zone) in enumerate(engines):
             ip = f'{self.net}.{100 + number}'
@@ -620,7 +627,10 @@
             self.engines.append(engine)
             await engine.start()
         for number in range(1, routers + 1):
-            router = Router(self.net, number, self.scratch, self.store.address)
+            router = Router(
+                self.net, number, self.scratch, f'{ips[number - 1]}:{STORE_PORT}'
+            )
+            router.store_ip = ips[number - 1]
             self.routers.append(router)
             await router.start()
         for router in self.routers:
