--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,7 @@
-"""A store that comes back from a copy lifts an evacuation, if its era was 0."""
+"""A router whose peer has left serves a key long after it was taken away."""
 
 import asyncio
-import os
-import random
+import signal
 import sys
 from pathlib import Path
 
@@ -14,91 +13,86 @@
 )
 
 FOLDER = Path(__file__).resolve().parent
-FIRST_ERA = int(os.environ.get('FIRST_ERA', '0'))
-"""1 is for comparison only: then the routers notice the copy."""
-EVACUATION_SECONDS = 5.0
-COPY_AGE_SECONDS = 8.0
-AWAY_SECONDS = 1.0
-REWRITE_SECONDS = 4.5
-PER_S = 20
+CONFIG_APPLY_SECONDS = 2.0
+PER_S = 10
 
 
 async def main(world: World) -> int:
     record = world.record
-    ran_in_south: list[float] = []
+    ran: list[tuple[float, str]] = []
+    sent_at: dict[str, float] = {}
     served = 0
 
     async def serve(engine: Engine, arrival: Arrival) -> None:
-        record.write('ran', engine=engine.id, zone=engine.zone, id=arrival.id)
-        if engine.zone == 'south':
-            ran_in_south.append(record.now())
-        # Engines of one service differ in speed.
-        await asyncio.sleep(0.03 if engine.zone == 'south' else 0.06)
-        body = b'fine'
-        arrival.head(200, 'Response-Seal: 1.2.3', body=body)
+        record.write(
+            'ran', engine=engine.id, id=arrival.id,
+            tenant=arrival.headers.get('tenant'),
+        )
+        ran.append((sent_at[arrival.id], arrival.headers.get('tenant', '')))
+        await asyncio.sleep(0.045)
+        arrival.head(200, 'Response-Seal: 1.2.3', body=b'fine')
 
-    async def ask() -> None:
+    async def ask(key: str) -> None:
         nonlocal served
-        request_id, router = new_id(), random.choice(world.routers)
+        request_id = new_id()
         content = request_bytes(
             'GET', f'/look/{request_id}', request_id, 1500,
-            'Authorization: Bearer key-alpha',
+            f'Authorization: Bearer {key}',
         )
-        record.write('sent', id=request_id, to=router.name)
+        sent_at[request_id] = record.now()
+        record.write('sent', id=request_id, key=key)
         try:
             async with asyncio.timeout(2):
-                answer = await ask_raw(router.ip, FRONT_PORT, content)
+                answer = await ask_raw(stays.ip, FRONT_PORT, content)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
             record.write('answer', id=request_id, failed=repr(exc))
             return
         served += answer.status == 200
-        record.write('answer', id=request_id, status=answer.status)
+        record.write('answer', id=request_id, key=key, status=answer.status)
 
     async def keep_asking() -> None:
         while True:
-            asyncio.create_task(ask())
+            for key in ('key-alpha', 'key-beta'):
+                asyncio.create_task(ask(key))
             await asyncio.sleep(1 / PER_S)
 
     cfg = config([
         route('look', 'idempotent', 'desk', timeout_ms=1500,
               target_latency_ms=200),
     ])
-    world.store.era = FIRST_ERA
     await world.start(2, cfg, [
-        ('desk1', 'desk', 6, serve, 'north'),
-        ('desk2', 'desk', 6, serve, 'north'),
-        ('desk3', 'desk', 6, serve, 'south'),
-        ('desk4', 'desk', 6, serve, 'south'),
+        ('desk1', 'desk', 6, serve), ('desk2', 'desk', 6, serve),
     ])
+    # The reader of the data centre is the one with the shorter watch.
+    waits = world.store.waits
+    leaves, stays = sorted(world.routers, key=lambda each: waits[each.store_ip])
+    record.write('routers', leaves=leaves.name, stays=stays.name, waits=waits)
     asyncio.create_task(keep_asking())
     await asyncio.sleep(2)
-    copy = world.store.copy()
-    await asyncio.sleep(0.5)
-    world.store.put('op/evacuate/south', {})
-    evacuated_at = record.now()
-    record.write('evacuation_acknowledged')
-    await asyncio.sleep(COPY_AGE_SECONDS - 0.5)
-    back_at = record.now()
     if trouble():
-        await world.store.go_away(AWAY_SECONDS, copy)
-        back_at = record.now()
-        await asyncio.sleep(REWRITE_SECONDS)
-        world.store.put('op/config', cfg)
-        world.store.put('op/evacuate/south', {})
-        record.write('operator_has_written_again')
-    else:
-        await asyncio.sleep(AWAY_SECONDS + REWRITE_SECONDS)
-    await asyncio.sleep(6)
-    from_at = evacuated_at + EVACUATION_SECONDS
-    in_touch_at = back_at + CONTACT_SECONDS
-    out = [at for at in ran_in_south if from_at < at < in_touch_at]
-    late = [at for at in ran_in_south if at >= max(from_at, in_touch_at)]
-    record.write(
-        'south_after_evacuation', out_of_touch=len(out), in_touch=len(late),
-        served=served, first=late[:1], last=late[-1:],
+        leaves.signal(signal.SIGTERM)
+        await leaves.process.wait()
+        record.write('router_removed', name=leaves.name)
+        await asyncio.sleep(2)
+        world.store.silence()
+        record.write('open_connections_silent')
+    silent_at = record.now()
+    await asyncio.sleep(0.5)
+    newer = {**cfg, 'version': 12}
+    newer['tenants'] = [each for each in cfg['tenants'] if each['name'] != 'alpha']
+    world.store.put('op/config', newer)
+    taken_at = record.now()
+    record.write('key_taken_away', key='key-alpha')
+    await asyncio.sleep(25)
+    from_at = max(
+        taken_at + CONFIG_APPLY_SECONDS,
+        silent_at + CONTACT_SECONDS if trouble() else 0,
     )
-    print('out of touch', len(out), 'in touch', len(late), late[:1], late[-1:],
-          'store back at', back_at)
+    late = [at for at, tenant in ran if tenant == 'alpha' and at > from_at]
+    record.write('ran_with_dropped_key', count=len(late), first=late[:1],
+                 last=late[-1:], taken_at=taken_at, counted_from=from_at)
+    print('ran with the dropped key', len(late), late[:1], late[-1:],
+          'taken at', taken_at)
     return int(bool(late)) if served > 100 else 2
 
 
