--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import os
 import random
 import sys
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'lib'))
@@ -14,6 +16,8 @@
 )
 
 FOLDER = Path(__file__).resolve().parent
+CRASH = os.environ.get('CRASH', 'deadly')
+"""``ordinary`` is for comparison: one crash, and no deadly request."""
 DEADLY = 'dead0001'
 ALPHA_PART, BETA_PART = 'a1fa0001', 'be7a0001'
 ALPHA_PER_S, BETA_PER_S = 4, 11
@@ -38,6 +42,7 @@
 async def main(world: World) -> int:
     tally, record = Tally(), world.record
     numbers = itertools.count()
+    alpha_runs: Counter[str] = Counter()
 
     async def serve(engine: Engine, arrival: Arrival) -> None:
         if DEADLY in arrival.parts():
@@ -46,6 +51,7 @@
                 tally.crashes.append(record.now())
                 asyncio.create_task(engine.crash_and_return(RETURN_SECONDS))
             return
+        alpha_runs[engine.name] += ALPHA_PART in arrival.parts()
         await asyncio.sleep(0.15)
         tally.begun.add(arrival.id)
         record.write('began', engine=engine.id, id=arrival.id)
@@ -119,7 +125,11 @@
     ]
     await asyncio.sleep(CALM_SECONDS)
     trouble_at = record.now()
-    if trouble():
+    if trouble() and CRASH == 'ordinary':
+        tally.crashes.append(record.now())
+        busiest = max(world.engines, key=lambda each: alpha_runs[each.name])
+        await busiest.crash_and_return(RETURN_SECONDS)
+    elif trouble():
         await send(
             ask_deadly, 1 / DEADLY_SECONDS, TROUBLE_SECONDS + WATCHED_SECONDS
         )
