End a long watch of operator entries when the reader goes silent

Cause: a router that is not the reader waits 20 s in one call, since the reader's lists would tell it of other entries in force. The length is chosen when the call begins, and nothing ended the call when the reader had gone or was frozen.

A router that has to read the list of endpoints itself now ends the call and reads the entries on a new connection. A reader's call waits 1.5 s in place of 2 s, so that a dead one is noticed within 3 s with the time for the response and the delay before the next call. Watches have a client of their own: cancelled ones held up all other calls of the store ('Timeout in request queue').

--- a/src/sesamespoke/platform/kv_store.py
+++ b/src/sesamespoke/platform/kv_store.py
@@ -80,12 +80,9 @@
         """Create a client; it connects at the first call."""
         self.era = era or StoreEra()
         self._base = f'http://{address}'
-        self._client = AsyncHTTPClient(
-            force_instance=True,
-            max_clients=MAX_PARALLEL_CALLS,
-            max_body_size=MAX_RESPONSE_BYTES,
-            resolver=IpResolver(),
-        )
+        self._client = _open_client()
+        # A cancelled watch occupies its place until the call times out.
+        self._watch_client = _open_client()
 
     async def get(self, key: str) -> Entry | Absent | StoreUnavailable:
         """Read one key."""
@@ -179,6 +176,7 @@
     def close(self) -> None:
         """Close the client."""
         self._client.close()
+        self._watch_client.close()
 
     async def _changes(
         self,
@@ -200,7 +198,10 @@
             )
             path = f'/v1/kv-watch?{query}'
             reply = await self._call(
-                'GET', path, timeout=seconds + RESPONSE_TIMEOUT_SECONDS
+                'GET',
+                path,
+                timeout=seconds + RESPONSE_TIMEOUT_SECONDS,
+                is_watch=True,
             )
             if isinstance(reply, StoreUnavailable):
                 yield reply
@@ -262,6 +263,8 @@
         path: str,
         body: dict[str, Any] | None = None,
         timeout: float = RESPONSE_TIMEOUT_SECONDS,
+        *,
+        is_watch: bool = False,
     ) -> _Reply | StoreUnavailable:
         """Make one call; ``StoreUnavailable`` if it failed or was rejected."""
         request = HTTPRequest(
@@ -274,8 +277,9 @@
             allow_nonstandard_methods=True,
             decompress_response=False,
         )
+        client = self._watch_client if is_watch else self._client
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await client.fetch(request, raise_error=False)
         except (OSError, HTTPError) as exc:
             return StoreUnavailable(str(exc), method != 'GET')
         if not self._is_current(response.headers):
@@ -298,6 +302,15 @@
         return self.era.observe(int(text), 'store')
 
 
+def _open_client() -> AsyncHTTPClient:
+    return AsyncHTTPClient(
+        force_instance=True,
+        max_clients=MAX_PARALLEL_CALLS,
+        max_body_size=MAX_RESPONSE_BYTES,
+        resolver=IpResolver(),
+    )
+
+
 def _decode(method: str, response: HTTPResponse) -> _Reply | StoreUnavailable:
     """Return the reply of a call, or why there is none that can be used."""
     if response.error is not None and response.code >= 500:
--- a/src/sesamespoke/serving/platform_sync.py
+++ b/src/sesamespoke/serving/platform_sync.py
@@ -111,6 +111,7 @@
         list_sharing.on_operator_config_mismatch = self._restart_watch
         self._watch_task: asyncio.Task[None] | None = None
         self._watch_restarted_at: float = 0
+        self._watch_relies_on_reader = False
         self._log = log
         self._registration = HostRegistration(cfg, feeds.store, log)
         self._restored_at: float = -math.inf
@@ -177,12 +178,23 @@
                 self._apply_update(update)
 
     def _watch_seconds(self) -> float:
+        """Return how long a watch call waits; called as one begins.
+
+        A router that hears from a reader learns of changes from its lists
+        even if the connection of the call has died.
+        """
         feeds = self._cfg.feeds
-        return (
-            feeds.watch
-            if self._list_sharing.is_reader()
-            else feeds.non_reader_watch
+        self._watch_relies_on_reader = not self._list_sharing.must_read(
+            feeds.endpoints
         )
+        if self._watch_relies_on_reader:
+            return feeds.non_reader_watch
+        return feeds.watch
+
+    def _end_long_watch(self) -> None:
+        """End a watch call that relied on a reader which has gone silent."""
+        if self._watch_relies_on_reader:
+            self._restart_watch()
 
     def _restart_watch(self) -> None:
         """Read the operator entries again, at most every RETRY_SECONDS.
@@ -196,6 +208,7 @@
         ):
             return
         self._watch_restarted_at = now
+        self._watch_relies_on_reader = False
         self._watch_task.cancel()
 
     def _recover(self) -> None:
@@ -287,6 +300,7 @@
             if not self._list_sharing.must_read(interval):
                 await asyncio.sleep(interval / 2)
                 continue
+            self._end_long_watch()
             requested_at = asyncio.get_running_loop().time()
             listed = await self._feeds.list_endpoints()
             if isinstance(listed, StoreUnavailable):
--- a/src/sesamespoke/serving/settings.py
+++ b/src/sesamespoke/serving/settings.py
@@ -33,7 +33,7 @@
     endpoints: float = 0.8
     hosts: float = 5.0
     non_reader_hosts: float = 20.0
-    watch: float = 2.0
+    watch: float = 1.5
     non_reader_watch: float = 20.0
     lease: float = 10.0
 
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -173,9 +173,11 @@
 
 
 @contextlib.asynccontextmanager
-async def open_second_router(fleet: Fleet) -> AsyncIterator[RoutedRouter]:
+async def open_second_router(
+    fleet: Fleet, host: str = 'frontend-north-2'
+) -> AsyncIterator[RoutedRouter]:
     """Yield another router that starts now, with peer streams to the first."""
-    cfg = replace(CFG, host='frontend-north-2', peers=free_address())
+    cfg = replace(CFG, host=host, peers=free_address())
     client = KvStore(Address('127.0.0.1', fleet.store.port))
     router = RoutedRouter(cfg, PlatformFeeds(client), HEADER_NAMES, read_head)
     task = asyncio.create_task(router.run())
