Tell an era of 0 from a store that has told none

Cause: 0 stood for both "no era known" and for an era, so that the rise from 0 to 1 called no listener and the directory took the copy's list for an ordinary one. UNKNOWN_ERA is a value that no store tells.

--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -12,6 +12,8 @@
 
 import xxhash
 
+from sesamespoke.store import UNKNOWN_ERA
+
 RELIST_GRACE_SECONDS = 2.0
 """Time within which a live endpoint is listed again after an outage."""
 LEAVING_SECONDS = 600.0
@@ -58,7 +60,7 @@
 
     revision: int
     endpoints: tuple[ListedEndpoint, ...]
-    era: int = 0
+    era: int = UNKNOWN_ERA
 
 
 Listeners = list[Callable[['Directory'], None]]
@@ -115,7 +117,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.listeners: Listeners = []
         self.listed_at: float = float('-inf')
-        self.era = 0
+        self.era = UNKNOWN_ERA
         self.revision = 0
         self.digest = 0
         self._clock = clock
@@ -138,7 +140,7 @@
         """
         if listing.era < self.era:
             return
-        is_restored = listing.era > self.era and self.era > 0
+        is_restored = listing.era > self.era != UNKNOWN_ERA
         is_older = listing.revision < self.revision and not is_restored
         if is_older and requested_at <= self.listed_at:
             return
--- a/src/sesamespoke/serving/store_era.py
+++ b/src/sesamespoke/serving/store_era.py
@@ -8,20 +8,21 @@
 
 from sesamespoke.metrics import Metrics
 from sesamespoke.serving.serving_dependencies import Log
+from sesamespoke.store import UNKNOWN_ERA
 
 Listener = Callable[[], None]
 
 
 class StoreEra:
-    """The newest era that this router has heard of; 0 if none is told.
+    """The newest era that the store has told; ``UNKNOWN_ERA`` before that.
 
     ``listeners`` are called when the store has come back from a copy, unless
-    the process has just begun and knows nothing of an earlier era.
+    the process knows nothing of an earlier era.
     """
 
     def __init__(self) -> None:
         """Start without an era; ``report_to`` makes changes visible."""
-        self.number = 0
+        self.number = UNKNOWN_ERA
         self.listeners: list[Listener] = []
         self._metrics: Metrics | None = None
         self._log: Log = _ignore_event
@@ -44,7 +45,7 @@
         before = self.number
         self.number = era
         self._report('store_era', era, source)
-        if before:
+        if before != UNKNOWN_ERA:
             for listener in tuple(self.listeners):
                 listener()
         return True
--- a/src/sesamespoke/store.py
+++ b/src/sesamespoke/store.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+UNKNOWN_ERA = -1
+"""Stands for the era of a store that has told none; eras begin at 0."""
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -36,10 +36,10 @@
     return catalog.version if catalog else 0
 
 
-async def begin_era(fleet: Fleet) -> None:
+async def begin_era(fleet: Fleet, era: int = 1) -> None:
     """Let the router learn that the store tells its era."""
-    fleet.store.era = '1'
-    await wait_until(lambda: fleet.client.era.number == 1)
+    fleet.store.era = str(era)
+    await wait_until(lambda: fleet.client.era.number == era)
 
 
 def test_change_at_a_revision_given_out_again_is_not_missed() -> None:
@@ -125,18 +125,19 @@
     run_with_fleet(steps)
 
 
+@pytest.mark.parametrize('first_era', [0, 1])
 @pytest.mark.parametrize('is_written_again', [True, False])
 def test_evacuation_that_the_copy_lacks_stays_in_force_for_a_while(
-    is_written_again: bool,
+    is_written_again: bool, first_era: int
 ) -> None:
     async def steps(fleet: Fleet) -> None:
-        await begin_era(fleet)
+        await begin_era(fleet, first_era)
         copy = fleet.store.copy()
         fleet.store.put(EVACUATION, b'{}')
         directory = fleet.router.directory
         await wait_until(lambda: directory.evacuated == {'north'})
         fleet.store.restore(copy)
-        await wait_until(lambda: fleet.client.era.number == 2)
+        await wait_until(lambda: fleet.client.era.number == first_era + 1)
         if is_written_again:
             await asyncio.sleep(RESTORE_GRACE_SECONDS / 5)
             fleet.store.put(EVACUATION, b'{}')
@@ -231,6 +232,19 @@
     asyncio.run(run())
 
 
+def test_store_that_begins_to_tell_its_era_has_not_been_restored() -> None:
+    async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
+        raised: list[int] = []
+        store.era.listeners.append(lambda: raised.append(1))
+        await store.get('k')
+        stand_in.era = '5'
+        await store.get('k')
+        assert store.era.number == 5
+        assert not raised
+
+    run_with_store(steps)
+
+
 def test_late_answer_of_an_older_era_changes_nothing() -> None:
     async def steps(stand_in: StoreStandIn, store: KvStore) -> None:
         stand_in.era = '4'
