Let every router tell what a store's copy may lack

Cause: only the reader of a data centre told the others at a restore, and the router that had started was the reader. Now every router tells those of its data centre, a reader tells all and passes on what it hears there, and routers go on telling those who connect until the grace is over.

--- a/src/sesamespoke/serving/config_sharing.py
+++ b/src/sesamespoke/serving/config_sharing.py
@@ -2,10 +2,14 @@
 
 After the store has come back from a copy, a router that starts reads what the
 copy holds: keys that were revoked since, and data centres that are to get no
-work. Routers that know better tell it, until the store holds as new a
-configuration again.
+work. Every router that knows better tells it, until the store holds as new a
+configuration again and operators have had time to write the rest. What is told
+first is a version and a few names; a configuration is sent to those who ask.
+Routers tell those of their data centre, and its reader tells all.
 """
 
+import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -20,6 +24,9 @@
 
 MAX_CONFIG_BYTES = 1_900_000
 """A message between routers holds 2 MiB."""
+RESTORE_GRACE_SECONDS = 5.0
+"""Time in which operators and hosts write their entries again after the store
+has come back from a copy; what the copy lacks stands until then."""
 
 
 class OperatorView(Protocol):
@@ -50,7 +57,8 @@
         self._links = links
         self._view = view
         self._is_reader = is_reader
-        self._is_doubtful = False
+        self._lacks_version = False
+        self._restored_at: float = -math.inf
         era.listeners.append(self._begin_doubt)
         links.subscribe(OperatorEntries, self._hear_entries)
         links.subscribe(ConfigRequest, self._hear_request)
@@ -60,19 +68,33 @@
     def note_stored(self, version: int) -> None:
         """Note the version that the store holds; it may end the doubt."""
         if version >= self._version():
-            self._is_doubtful = False
+            self._lacks_version = False
+
+    def _is_doubtful(self) -> bool:
+        """Return whether the store may lack what this router knows."""
+        now = asyncio.get_running_loop().time()
+        return (
+            self._lacks_version
+            or now - self._restored_at < RESTORE_GRACE_SECONDS
+        )
 
     def _version(self) -> int:
         catalog = self._view.catalog
         return catalog.version if catalog else 0
 
     def _begin_doubt(self) -> None:
-        self._is_doubtful = True
+        self._lacks_version = True
+        self._restored_at = asyncio.get_running_loop().time()
+        self._tell_all()
+
+    def _tell_all(self) -> None:
         if self._is_reader():
             self._links.broadcast(self._entries())
+        else:
+            self._links.broadcast_local(self._entries())
 
     def _tell(self, host: str) -> None:
-        if self._is_doubtful:
+        if self._is_doubtful():
             self._links.send(host, self._entries())
 
     def _entries(self) -> OperatorEntries:
@@ -85,6 +107,7 @@
         missing = frozenset(message.evacuated) - self._view.evacuated
         if missing:
             self.on_evacuated(missing)
+            self._pass_on()
 
     def _hear_request(self, sender: str, message: ConfigRequest) -> None:
         catalog = self._view.catalog
@@ -96,6 +119,12 @@
     def _hear_copy(self, sender: str, message: ConfigCopy) -> None:
         if message.version > self._version():
             self.on_config(message.content)
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        """Tell all of what a reader has heard from its data centre."""
+        if self._is_reader():
+            self._links.broadcast(self._entries())
 
 
 def _ignore_config(content: bytes) -> None:
--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -140,7 +140,7 @@
         """
         if listing.era < self.era:
             return
-        is_restored = listing.era > self.era != UNKNOWN_ERA
+        is_restored = listing.era > self.era and self.era != UNKNOWN_ERA
         is_older = listing.revision < self.revision and not is_restored
         if is_older and requested_at <= self.listed_at:
             return
--- a/src/sesamespoke/serving/platform_sync.py
+++ b/src/sesamespoke/serving/platform_sync.py
@@ -18,7 +18,10 @@
 from sesamespoke.checked_fields import MALFORMED
 from sesamespoke.host_list import HostList, KnownHost
 from sesamespoke.serving.catalog import Catalog
-from sesamespoke.serving.config_sharing import ConfigSharing
+from sesamespoke.serving.config_sharing import (
+    RESTORE_GRACE_SECONDS,
+    ConfigSharing,
+)
 from sesamespoke.serving.directory import (
     Directory,
     ListedEndpoint,
@@ -41,9 +44,6 @@
 from sesamespoke.settings import Address
 from sesamespoke.store import Entry, StoreUnavailable
 
-RESTORE_GRACE_SECONDS = 5.0
-"""Time in which operators and hosts write their entries again after the store
-has come back from a copy; what the copy lacks stands until then."""
 TIMER_SLACK_SECONDS = 0.05
 RETRY_SECONDS = 0.3
 """Delay before a failed store call is retried."""
--- a/tests/test_silent_store_connections.py
+++ b/tests/test_silent_store_connections.py
@@ -7,22 +7,20 @@
 from support_platform import CONFIG, StoreStandIn
 from support_routed import CFG, Fleet, run_with_fleet, wait_until
 from test_platform_store import run_steps
-from test_store_restore import free_address, open_second_router, version_of
+from test_store_restore import (
+    free_address,
+    name_of_reader,
+    open_second_router,
+    version_of,
+)
 
 from sesamespoke.platform.kv_store import MAX_PARALLEL_CALLS, KvStore
-from sesamespoke.serving.endpoint_list_sharing import _hash_of
 from sesamespoke.store import Entry
 
 CONTACT_SECONDS = 3.0
 """Time that a router has to notice that its connections have died."""
 
 
-def name_of_reader() -> str:
-    """Return a host name that makes a router the reader beside ``CFG.host``."""
-    names = (f'reader-{number}' for number in range(100))
-    return next(name for name in names if _hash_of(name) < _hash_of(CFG.host))
-
-
 async def change_config(fleet: Fleet) -> None:
     """Change the configuration while all waiting watches are silent."""
     fleet.store.held_path = '/v1/kv-watch'
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -15,9 +15,10 @@
 from sesamespoke.platform.feeds import PlatformFeeds
 from sesamespoke.platform.headers import HEADER_NAMES, read_head
 from sesamespoke.platform.kv_store import KvStore
+from sesamespoke.serving.config_sharing import RESTORE_GRACE_SECONDS
 from sesamespoke.serving.directory import Directory, Listing
+from sesamespoke.serving.endpoint_list_sharing import _hash_of
 from sesamespoke.serving.host_registration import HOST_PREFIX
-from sesamespoke.serving.platform_sync import RESTORE_GRACE_SECONDS
 from sesamespoke.serving.router import RoutedRouter
 from sesamespoke.settings import Address
 from sesamespoke.store import Committed, Entry, StoreUnavailable
@@ -173,6 +174,12 @@
     return Address('127.0.0.1', port)
 
 
+def name_of_reader() -> str:
+    """Return a host name that makes a router the reader beside ``CFG.host``."""
+    names = (f'reader-{number}' for number in range(100))
+    return next(name for name in names if _hash_of(name) < _hash_of(CFG.host))
+
+
 @contextlib.asynccontextmanager
 async def open_second_router(
     fleet: Fleet, host: str = 'frontend-north-2'
