Keep the state of an endpoint whose entry has lapsed

Cause: pause, health and cold limit were dropped as soon as a list lacked the endpoint. They now stand for a minute, a pause until its end, and end at once with another incarnation.

--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -30,6 +30,9 @@
 """Endpoints, first in rendezvous order, searched for a prefix holder."""
 MIN_HOLDER_SECONDS = 4.0
 """An engine that was listed more recently has cached few prefixes so far."""
+UNLISTED_SECONDS = 60.0
+"""Time for which the state of an endpoint is kept that is no longer listed: its
+entry may have lapsed while it lives."""
 MAX_RANKINGS = 20_000
 """Shared prefixes whose rendezvous order of endpoints is cached."""
 
@@ -55,6 +58,14 @@
     listed_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Unlisted:
+    """An incarnation that the list no longer names, and since when."""
+
+    listed: _Listed
+    since: float
+
+
 class Chooser:
     """Tracks the load of every endpoint and reserves free capacity."""
 
@@ -76,6 +87,7 @@
         self._directory = directory
         self._clock = clock
         self._listed: dict[str, _Listed] = {}
+        self._unlisted: dict[str, _Unlisted] = {}
         self._rankings: dict[tuple[str, str], tuple[str, ...]] = {}
         self._data_centre = data_centre
         directory.listeners.append(self._drop_gone)
@@ -299,18 +311,33 @@
         return self.cold_limiter.may_send(endpoint.name, service.cold_rate)
 
     def _drop_gone(self, directory: Directory) -> None:
-        """Drop the state of endpoints that were removed or restarted."""
+        """Drop the state of endpoints that have restarted or gone."""
         self._rankings.clear()
+        now = self._clock()
         before = self._listed
         self._listed = {}
+        for name, listed in before.items():
+            if name not in directory.endpoints:
+                self._unlisted[name] = _Unlisted(listed, now)
         for name, endpoint in directory.endpoints.items():
-            listed = before.pop(name, None)
-            if listed is None or listed.born != endpoint.born:
+            unlisted = self._unlisted.pop(name, None)
+            known = unlisted.listed if unlisted else before.get(name)
+            if known is None or known.born != endpoint.born:
+                self._drop(name)
+                known = _Listed(endpoint.born, now)
+            self._listed[name] = known
+        self._drop_unlisted(now)
+
+    def _drop_unlisted(self, now: float) -> None:
+        """Drop the state of endpoints that have not been listed for long.
+
+        A pause that an endpoint asked for stands until its end.
+        """
+        for name, unlisted in tuple(self._unlisted.items()):
+            has_gone = now - unlisted.since > UNLISTED_SECONDS
+            if has_gone and not self.backoff.seconds_left(name):
+                del self._unlisted[name]
                 self._drop(name)
-                listed = _Listed(endpoint.born, self._clock())
-            self._listed[name] = listed
-        for name in before:
-            self._drop(name)
 
     def _drop(self, name: str) -> None:
         self.health.drop(name)
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -4,9 +4,16 @@
 from dataclasses import dataclass, field
 
 import pytest
-from support_platform import ReceivedRequest, Writer, head_bytes, respond_ok
-from support_routed import Fleet, run_with_fleet
-from support_serving_jobs import Clock
+from support_platform import (
+    ReceivedRequest,
+    Writer,
+    head_bytes,
+    respond_ok,
+    server_entry,
+)
+from support_routed import Fleet, run_with_fleet, wait_until
+from support_serving_jobs import PLAIN, Clock
+from support_serving_jobs import endpoints_of as endpoints_of_service
 
 from sesamespoke.checked_fields import read_retry_after
 from sesamespoke.serving.backoff import (
@@ -14,6 +21,8 @@
     MAX_RAMP_REQUESTS,
     EndpointBackoff,
 )
+from sesamespoke.serving.chooser import UNLISTED_SECONDS, Chooser
+from sesamespoke.serving.directory import Directory, Listing
 
 REQUESTS = 10
 SLACK_SECONDS = 0.5
@@ -79,6 +88,55 @@
     run_with_fleet(steps)
 
 
+@pytest.mark.parametrize('is_restarted', [False, True])
+def test_pause_holds_for_an_engine_whose_entry_lapses_and_comes_back(
+    is_restarted: bool,
+) -> None:
+    async def steps(fleet: Fleet) -> None:
+        engine = BusyEngine(30, '30')
+        other = BusyEngine(0, '0')
+        await fleet.add_engine('i-1', 'desk', engine.serve)
+        await fleet.add_engine('i-2', 'desk', other.serve)
+        while not engine.arrivals:
+            await send(fleet, 0)
+        endpoints = fleet.router.directory.endpoints
+        address = endpoints['i-1'].address
+        fleet.store.remove('servers/i-1')
+        await wait_until(lambda: 'i-1' not in endpoints_of(fleet))
+        born = 18 if is_restarted else 17
+        entry = server_entry('desk', address, born=born)
+        fleet.store.put('servers/i-1', entry)
+        await wait_until(lambda: 'i-1' in endpoints_of(fleet))
+        for number in range(0, 80, 4):
+            sent = (send(fleet, number + index) for index in range(4))
+            assert set(await asyncio.gather(*sent)) == {200}
+        assert (len(engine.arrivals) > 1) is is_restarted
+
+    run_with_fleet(steps)
+
+
+def endpoints_of(fleet: Fleet) -> set[str]:
+    return set(fleet.router.directory.endpoints)
+
+
+def test_state_of_an_endpoint_that_stays_away_is_dropped() -> None:
+    clock = Clock()
+    directory = Directory(clock)
+    chooser = Chooser('h', lambda: None, directory, clock, lambda: 1)
+    listed = endpoints_of_service(PLAIN, 2)
+    directory.replace(Listing(1, listed))
+    chooser.backoff.note_refused('desk-0', 2 * UNLISTED_SECONDS)
+    revision = 1
+    for seconds in (1, UNLISTED_SECONDS + 1, UNLISTED_SECONDS):
+        clock.now += seconds
+        revision += 1
+        rows = listed[1:] if revision % 2 else ()
+        directory.replace(Listing(revision, rows))
+        paused_for = chooser.backoff.seconds_left('desk-0')
+    assert not paused_for
+    assert 'desk-0' not in chooser._unlisted
+
+
 def test_callers_are_refused_at_once_where_every_engine_wants_nothing() -> None:
     async def steps(fleet: Fleet) -> None:
         engines = [BusyEngine(30, '30') for _ in range(2)]
