Answer the caller after an unexpected exception of an attempt

An engine's entry with the address 10..0.1:80 passed the check when it was read; connecting raised UnicodeError, and the caller's connection was closed without an answer.

The address of an entry is checked whole, and an exception of any type that ends a request without an answer is logged and answered with 502, "may have run".

test_entry_with_an_address_that_cannot_be_connected_to_is_left_out and test_unexpected_exception_of_an_attempt_ends_in_an_answer failed before.

--- a/src/sesamespoke/platform/feeds.py
+++ b/src/sesamespoke/platform/feeds.py
@@ -3,14 +3,16 @@
 import asyncio
 import json
 from collections.abc import AsyncGenerator
+from ipaddress import AddressValueError, IPv4Address
 from types import MappingProxyType
 from typing import Any
 
 import structlog
 
-from sesamespoke.checked_fields import MALFORMED, is_finite
+from sesamespoke.checked_fields import MALFORMED, is_count, is_finite
 from sesamespoke.platform.kv_store import KvStore, WatchTimeout
 from sesamespoke.platform.operator_config import read_catalog
+from sesamespoke.platform.settings import MAX_PORT
 from sesamespoke.serving.catalog import Catalog
 from sesamespoke.serving.directory import ListedEndpoint, Listing
 from sesamespoke.serving.platform_interface import (
@@ -148,7 +150,11 @@
 
 def _is_address(text: str) -> bool:
     ip, _, port = text.rpartition(':')
-    return ip.count('.') == 3 and port.isdigit() and int(port) < 65_536
+    try:
+        IPv4Address(ip)
+    except AddressValueError:
+        return False
+    return is_count(port) and 0 < int(port) <= MAX_PORT
 
 
 def _read_operator_entry(change: Entry | Absent) -> OperatorUpdate | None:
--- a/src/sesamespoke/request_server.py
+++ b/src/sesamespoke/request_server.py
@@ -22,7 +22,7 @@
 from sesamespoke.intake import Call
 from sesamespoke.metrics import Metrics
 from sesamespoke.settings import Address
-from sesamespoke.verdicts import Refusal
+from sesamespoke.verdicts import ENDPOINT_FAILED, Refusal, Verdict
 
 MAX_BUFFER_BYTES = 1_048_576
 MAX_HEAD_BYTES = 65_536
@@ -221,8 +221,18 @@
             log.exception('call_failed', request_id=call.request_id)
             reply.cut()
 
+    async def _respond(self, call: Call, reply: ConnectionReply) -> Ended:
+        """Return what ends a call, also after an unexpected exception."""
+        try:
+            return await self.respond(call, reply)
+        except StreamClosedError:
+            raise
+        except Exception:
+            log.exception('call_failed', request_id=call.request_id)
+            return Refusal(ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN)
+
     async def _answer(self, call: Call, reply: ConnectionReply) -> None:
-        ended = await self.respond(call, reply)
+        ended = await self._respond(call, reply)
         self._metrics.count('caller_answers', code=_code_of(ended))
         if ended is None:
             reply.finish()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -7,6 +7,7 @@
 import tempfile
 import tomllib
 from typing import Any
+from unittest import mock
 
 import pytest
 import structlog
@@ -23,6 +24,7 @@
 from support_routed import Fleet, run_with_fleet
 from test_platform_decoding import SETTINGS
 
+from sesamespoke.endpoint_connections import ConnectionPool
 from sesamespoke.platform.feeds import read_endpoint
 from sesamespoke.platform.operator_config import read_catalog
 from sesamespoke.platform.settings import load_settings
@@ -104,6 +106,26 @@
         assert 0 <= listed.cold_until < math.inf
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        '10..0.1:80',
+        '10.0.0.256:80',
+        '10.0.0:80',
+        '10.0.0.1:0',
+        '10.0.0.1:70000',
+        '10.0.0.1:\u0661',
+        '10.0.0.1',
+        'host:80',
+    ],
+)
+def test_entry_with_an_address_that_cannot_be_connected_to_is_left_out(
+    address: str,
+) -> None:
+    content = json.dumps(server_entry('llm', address)).encode()
+    assert read_endpoint(Entry('servers/i-1', content, 3), 7) is None
+
+
 def write_toml(value: Any) -> str:
     """Return a value in TOML's inline notation."""
     if isinstance(value, dict):
@@ -265,3 +287,20 @@
         assert [line['key'] for line in ignored] == ['servers/i-0']
 
     run_with_fleet(steps)
+
+
+@pytest.mark.parametrize('exc', [UnicodeError('bad host'), KeyError('x')])
+def test_unexpected_exception_of_an_attempt_ends_in_an_answer(
+    exc: Exception,
+) -> None:
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', respond_ok)
+        caller = await fleet.connect()
+        with mock.patch.object(ConnectionPool, 'take', side_effect=exc):
+            answered = await caller.request('/l/1')
+        assert answered.status == 502
+        assert answered.is_complete
+        answered = await caller.request('/l/1', request_id='r2')
+        assert answered.status == 200
+
+    run_with_fleet(steps)
