Keep the sequence of breaks when repeats in flight are many

With more than 16 repeats of a deadly request in flight, the breaks of one crash pushed out those of the crash before, so that the request never reached its second break for long. Beyond the limit only the breaks that count are kept.

test_many_repeats_in_flight_do_not_hide_that_a_request_breaks_again failed before.

--- a/src/sesamespoke/request_evidence.py
+++ b/src/sesamespoke/request_evidence.py
@@ -59,19 +59,24 @@
     tried_at: float = -math.inf
     running: bool = False
 
-    def count(self) -> int:
+    def find_sequence(self) -> list[Break]:
         """Return the breaks that happened one after the other.
 
-        A request that was sent before the last counted break is no further
+        A request that was sent before the last of them is no further
         evidence: endpoints may fail together for another reason.
         """
-        counted = 0
-        last_at = -math.inf
+        found: list[Break] = []
         for each in sorted(self.breaks, key=_happened_at):
-            if each.sent_at >= last_at:
-                counted += 1
-                last_at = each.happened_at
-        return counted
+            if not found or each.sent_at >= found[-1].happened_at:
+                found.append(each)
+        return found
+
+    def add(self, found: Break) -> None:
+        """Add a break; keep only the evidence if there are many."""
+        if found not in self.breaks:
+            self.breaks = [*self.breaks, found]
+        if len(self.breaks) > MAX_BREAKS:
+            self.breaks = self.find_sequence()[-MAX_BREAKS:]
 
 
 class RequestEvidence:
@@ -104,7 +109,7 @@
             if digest in self._answered
             else BREAKS_OF_NEW_REQUEST
         )
-        return record.is_told or record.count() >= limit
+        return record.is_told or len(record.find_sequence()) >= limit
 
     def add_break(self, digest: bytes, found: Break) -> bool:
         """Add a break; return whether it quarantined the request."""
@@ -115,8 +120,7 @@
         record = self._records.setdefault(digest, _Record())
         if found.sent_at >= record.tried_at:
             record.running = False
-        if found not in record.breaks:
-            record.breaks = [*record.breaks, found][-MAX_BREAKS:]
+        record.add(found)
         if len(self._records) > MAX_REQUESTS:
             self._drop_oldest()
         return self.is_quarantined(digest) and not was_quarantined
--- a/tests/test_request_evidence.py
+++ b/tests/test_request_evidence.py
@@ -9,6 +9,7 @@
     BREAKS_OF_ANSWERED_REQUEST,
     BREAKS_OF_NEW_REQUEST,
     EXPIRY_SECONDS,
+    MAX_BREAKS,
     MAX_REQUESTS,
     QUICK_TRIAL_SECONDS,
     QUICK_TRIALS,
@@ -71,6 +72,16 @@
     assert scenario.evidence.quarantined() == (DIGEST,)
 
 
+def test_many_repeats_in_flight_do_not_hide_that_a_request_breaks_again() -> (
+    None
+):
+    scenario = Scenario()
+    for _ in range(BREAKS_OF_NEW_REQUEST):
+        scenario.fail(in_flight=3 * MAX_BREAKS)
+    assert scenario.evidence.quarantined() == (DIGEST,)
+    assert len(scenario.evidence.breaks(DIGEST)) <= MAX_BREAKS
+
+
 def test_request_that_was_answered_before_needs_more_breaks() -> None:
     scenario = Scenario()
     scenario.evidence.note_answered(DIGEST)
