Trim the answered requests without a copy, and describe a request once

Each complete answer copied the table of answered requests to trim it, and the tracker built the description of a request twice for each answer, break and end.

--- a/src/sesamespoke/request_evidence.py
+++ b/src/sesamespoke/request_evidence.py
@@ -256,5 +256,5 @@
 
 def _trim(names: dict[bytes, Any]) -> None:
     """Drop the oldest entries of a table that has grown too long."""
-    for digest in tuple(names)[: max(0, len(names) - MAX_REQUESTS)]:
-        del names[digest]
+    while len(names) > MAX_REQUESTS:
+        del names[next(iter(names))]
--- a/src/sesamespoke/serving/crash_tracker.py
+++ b/src/sesamespoke/serving/crash_tracker.py
@@ -96,8 +96,9 @@
 
     def end_attempt(self, job: Job) -> None:
         """Note that an attempt ended without a crash or an answer."""
-        self._requests.end_attempt(self._use_of(job))
-        self._parts.end_attempt(self._use_of(job))
+        use = self._use_of(job)
+        self._requests.end_attempt(use)
+        self._parts.end_attempt(use)
 
     def note_broken(self, attempt: BrokenAttempt) -> None:
         """Record a connection that ended while an endpoint ran a request."""
@@ -108,12 +109,13 @@
             endpoint=endpoint.name,
             answer_begun=attempt.has_answer,
         )
+        use = self._use_of(job)
         if attempt.has_answer:
-            self._requests.end_attempt(self._use_of(job))
+            self._requests.end_attempt(use)
         else:
-            self._requests.note_broken(self._use_of(job), attempt.sent_at)
+            self._requests.note_broken(use, attempt.sent_at)
         self._parts.note_broken(
-            self._use_of(job),
+            use,
             ServedEndpoint(
                 f'{endpoint.name} {endpoint.born}', endpoint.address
             ),
@@ -129,13 +131,15 @@
 
     def clear(self, job: Job, begun_at: float) -> None:
         """Clear a request, since an answer to it began and went on."""
-        self._requests.clear(self._use_of(job), begun_at)
-        self._parts.clear(self._use_of(job), begun_at)
+        use = self._use_of(job)
+        self._requests.clear(use, begun_at)
+        self._parts.clear(use, begun_at)
 
     def note_answered(self, job: Job, begun_at: float) -> None:
         """Record a complete answer, which began at a time of the clock."""
-        self._requests.note_answered(self._use_of(job), begun_at)
-        self._parts.note_answered(self._use_of(job), begun_at)
+        use = self._use_of(job)
+        self._requests.note_answered(use, begun_at)
+        self._parts.note_answered(use, begun_at)
 
     def _record_request(self, digest: bytes, is_found_here: bool) -> None:
         record = RequestRecord(digest)
