Keep the requests to an endpoint within the limit that it names

Engines in need name in their answers how many requests per second they take from all routers together.

The limit of cold endpoints was a rate over all routers already. It becomes EndpointRateLimiter and serves both; the lower rate holds. A few routers, chosen by rendezvous hashing, send to a limited endpoint, so that the sum holds by construction: all of them sending at one moment stay within 1.5 times the rate and 5 requests. Before, 60 routers that had been idle together could each send one request to a cold endpoint in the same second. Routers tell each other of a limit and of its end; a limit is lifted in steps. A stream's fail-over asks for room without using up a limited endpoint's turn.

--- a/src/sesamespoke/checked_fields.py
+++ b/src/sesamespoke/checked_fields.py
@@ -28,16 +28,21 @@
     return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
 
 
+def read_decimal(text: str) -> float | None:
+    """Return a decimal number of at least 0; None if it is not one."""
+    number = text.strip()
+    whole, _, fraction = number.partition('.')
+    if not (is_count(whole) and is_count(fraction or '0')):
+        return None
+    return float(number)
+
+
 def read_retry_after(text: str) -> float:
     """Return the seconds of a ``Retry-After`` header, with a fraction.
 
     Returns 0 for a date, a negative number and what can't be read.
     """
-    number = text.strip()
-    whole, _, fraction = number.partition('.')
-    if not (is_count(whole) and is_count(fraction or '0')):
-        return 0
-    return float(number)
+    return read_decimal(text) or 0
 
 
 def is_finite(number: object) -> bool:
--- a/src/sesamespoke/codec.py
+++ b/src/sesamespoke/codec.py
@@ -69,6 +69,7 @@
         42: routing_messages.SiteLoads,
         43: routing_messages.EndpointLeaves,
         45: routing_messages.OperatorEntries,
+        48: routing_messages.EndpointLimit,
         46: routing_messages.ConfigRequest,
         47: routing_messages.ConfigCopy,
         50: crash_messages.EndpointCrash,
--- a/src/sesamespoke/platform/headers.py
+++ b/src/sesamespoke/platform/headers.py
@@ -24,6 +24,7 @@
     seal='Response-Seal',
     not_run='Not-Executed',
     leaving='Server-Leaving',
+    rate_limit='Server-Limit',
     fetch_from='Kv-Fetch',
 )
 
--- a/src/sesamespoke/routing_messages.py
+++ b/src/sesamespoke/routing_messages.py
@@ -64,6 +64,21 @@
     born: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLimit:
+    """The requests per second that an incarnation of an endpoint takes.
+
+    ``number`` orders the changes. ``rate`` counts only while the limit
+    ``is_named``; it has ended otherwise.
+    """
+
+    endpoint: str
+    born: int
+    number: int
+    is_named: bool
+    rate: float
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorEntries:
     """Operator entries in force at a router that the store may have lost.
@@ -97,6 +112,7 @@
     | SiteLoads
     | EndpointList
     | EndpointLeaves
+    | EndpointLimit
     | ConfigMessage
     | CrashMessage
 )
--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -1,16 +1,21 @@
 """Chooses an endpoint for a request and reserves capacity there."""
 
+import math
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
 from sesamespoke.serving.backoff import EndpointBackoff
 from sesamespoke.serving.catalog import Catalog, RoutedService
-from sesamespoke.serving.cold_rate_limiter import ColdRateLimiter
 from sesamespoke.serving.directory import Directory, ListedEndpoint
+from sesamespoke.serving.endpoint_rate_limiter import (
+    EndpointRateLimiter,
+    Hosts,
+)
 from sesamespoke.serving.health import Health
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.load import InFlightRequest, LoadTracker
+from sesamespoke.serving.named_limits import NamedLimits
 from sesamespoke.serving.placement import (
     Candidate,
     Placement,
@@ -75,14 +80,15 @@
         catalog: Callable[[], Catalog | None],
         directory: Directory,
         clock: Callable[[], float],
-        routers: Callable[[], int | None],
+        hosts: Hosts,
         data_centre: str = '',
     ) -> None:
         """Start without any load; ``data_centre`` is the one of this host."""
         self.loads = LoadTracker(clock)
         self.health = Health(clock)
         self.backoff = EndpointBackoff(clock)
-        self.cold_limiter = ColdRateLimiter(host, clock, routers)
+        self.limits = NamedLimits(clock)
+        self.rate_limiter = EndpointRateLimiter(host, clock, hosts)
         self._catalog = catalog
         self._directory = directory
         self._clock = clock
@@ -102,20 +108,28 @@
 
         Endpoints whose utilisation reaches ``utilisation_limit`` are full.
         """
-        catalog = self._catalog()
-        service = catalog.services.get(job.service) if catalog else None
+        service = self._service(job)
         if service is None:
             return None
         placement = self._place(job, utilisation_limit, service, avoided)
         if placement is None:
             return None
         endpoint = placement.endpoint
-        if self._directory.is_cold(endpoint):
-            self.cold_limiter.note_sent(endpoint.name, service.cold_rate)
+        rate = self._rate_limit(service, endpoint)
+        if rate < math.inf:
+            self.rate_limiter.note_sent(endpoint.name, rate)
         self.backoff.begin(endpoint.name)
         in_flight = self.loads.begin(endpoint.name, placement.prefill_ms)
         return Reservation(placement, in_flight)
 
+    def has_room(self, job: Job, avoided: frozenset[str]) -> bool:
+        """Return whether another endpoint has free capacity for a request."""
+        service = self._service(job)
+        return (
+            service is not None
+            and self._place(job, 1, service, avoided) is not None
+        )
+
     def describe_view(self) -> dict[str, object]:
         """Return log fields: version and age of the data behind a choice."""
         catalog = self._catalog()
@@ -147,13 +161,18 @@
         if not self.is_usable(reservation):
             return False
         endpoint = self._directory.endpoints[reservation.endpoint.name]
-        return not self._directory.is_cold(endpoint)
+        has_limit = self.limits.rate(endpoint) < math.inf
+        return not (has_limit or self._directory.is_cold(endpoint))
 
     def release(self, reservation: Reservation) -> None:
         """Give up the capacity that was held for a request."""
         self.backoff.end(reservation.endpoint.name)
         self.loads.end(reservation.in_flight)
 
+    def _service(self, job: Job) -> RoutedService | None:
+        catalog = self._catalog()
+        return catalog.services.get(job.service) if catalog else None
+
     def _place(
         self,
         job: Job,
@@ -274,7 +293,7 @@
             for endpoint in self._directory.usable(service.name)
             if endpoint.name not in avoided
             and self.backoff.allows(endpoint.name)
-            and self._is_within_cold_rate(service, endpoint)
+            and self._is_within_rate(service, endpoint)
         ]
         healthy = [
             endpoint
@@ -300,15 +319,25 @@
         return (
             self._directory.is_usable(endpoint)
             and self.backoff.allows(endpoint.name)
-            and self._is_within_cold_rate(service, endpoint)
+            and self._is_within_rate(service, endpoint)
         )
 
-    def _is_within_cold_rate(
+    def _is_within_rate(
         self, service: RoutedService, endpoint: ListedEndpoint
     ) -> bool:
-        if not self._directory.is_cold(endpoint):
-            return True
-        return self.cold_limiter.may_send(endpoint.name, service.cold_rate)
+        rate = self._rate_limit(service, endpoint)
+        return rate == math.inf or self.rate_limiter.may_send(
+            endpoint.name, rate
+        )
+
+    def _rate_limit(
+        self, service: RoutedService, endpoint: ListedEndpoint
+    ) -> float:
+        """Return the requests per second that all routers may send."""
+        named = self.limits.rate(endpoint)
+        if service.cold_rate > 0 and self._directory.is_cold(endpoint):
+            return min(named, service.cold_rate)
+        return named
 
     def _drop_gone(self, directory: Directory) -> None:
         """Drop the state of endpoints that have restarted or gone."""
@@ -323,7 +352,7 @@
             unlisted = self._unlisted.pop(name, None)
             known = unlisted.listed if unlisted else before.get(name)
             if known is None or known.born != endpoint.born:
-                self._drop(name)
+                self._drop(name, endpoint.born)
                 known = _Listed(endpoint.born, now)
             self._listed[name] = known
         self._drop_unlisted(now)
@@ -339,7 +368,9 @@
                 del self._unlisted[name]
                 self._drop(name)
 
-    def _drop(self, name: str) -> None:
+    def _drop(self, name: str, born: int | None = None) -> None:
+        """Drop the state of an endpoint, except that of a new incarnation."""
         self.health.drop(name)
         self.backoff.drop(name)
-        self.cold_limiter.drop(name)
+        self.rate_limiter.drop(name)
+        self.limits.drop(name, born)
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -78,6 +78,7 @@
     seal: str
     not_run: str
     leaving: str
+    rate_limit: str
     fetch_from: str
 
 
@@ -99,6 +100,7 @@
       connection had been closed; ``resent`` tells whether that happened;
     - ``on_leaving`` when the endpoint answers that it is leaving;
     - ``on_backoff`` when it wants no request for some seconds;
+    - ``on_rate_limit`` with each answer: the limit that it names, or None;
     - ``may_fail_over`` when a stream has sent no event for too long: it tells
       whether another endpoint can continue the stream.
 
@@ -127,6 +129,7 @@
         self.on_first_byte: Callable[[], None] = _ignore
         self.on_leaving: Callable[[], None] = _ignore
         self.on_backoff: Callable[[float], None] = _ignore_seconds
+        self.on_rate_limit: Callable[[str | None], None] = _ignore_limit
         self.first_byte_at: float | None = None
         self.may_send: Callable[[], bool] = _always
         self.may_resend: Callable[[], bool] = _never
@@ -212,6 +215,9 @@
             return
         if head.headers.get(self._context.header_names.leaving) == '1':
             self.on_leaving()
+        self.on_rate_limit(
+            head.headers.get(self._context.header_names.rate_limit)
+        )
         seconds = read_retry_after(head.headers.get('Retry-After', ''))
         if head.status == SERVICE_UNAVAILABLE and seconds:
             self.on_backoff(seconds)
@@ -467,6 +473,10 @@
     """Do nothing."""
 
 
+def _ignore_limit(text: str | None) -> None:
+    """Do nothing."""
+
+
 _BODILESS_METHODS = frozenset(('GET', 'HEAD'))
 _MAX_WAIT_SECONDS = 3600.0
 
--- a/src/sesamespoke/serving/fleet_size.py
+++ b/src/sesamespoke/serving/fleet_size.py
@@ -61,6 +61,7 @@
         self._last_seen: dict[str, float] = {}
         self._next_scan_at: float = 0
         self._logged_count: int | None = None
+        self._hosts_seen: frozenset[str] = frozenset()
         links.on_view(self._on_view)
         hosts.on_hosts(self._update)
 
@@ -77,6 +78,13 @@
             self._scan()
         return len(self._last_seen)
 
+    def known_hosts(self) -> frozenset[str] | None:
+        """Return the routers that may share a limit; None if unknown.
+
+        The same object is returned until they change.
+        """
+        return None if self.count() is None else self._hosts_seen
+
     def _on_view(self, view: View) -> None:
         self._update()
 
@@ -107,3 +115,5 @@
             for host, seen_at in self._last_seen.items()
             if seen_at >= oldest
         }
+        if self._last_seen.keys() != self._hosts_seen:
+            self._hosts_seen = frozenset(self._last_seen)
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -16,12 +16,12 @@
 )
 from sesamespoke.serving.directory import Directory
 from sesamespoke.serving.endpoint_list_sharing import EndpointListSharing
+from sesamespoke.serving.endpoint_notices import share_endpoint_notices
 from sesamespoke.serving.exchange import ExchangeContext, HeaderNames
 from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.fleet_size import FleetSize
 from sesamespoke.serving.graceful_shutdown import GracefulShutdown
 from sesamespoke.serving.intake import ReadHead
-from sesamespoke.serving.leaving_endpoints import LeavingEndpoints
 from sesamespoke.serving.load_exchange import LoadExchange
 from sesamespoke.serving.loop_lag import LoopLagMonitor
 from sesamespoke.serving.platform_interface import Feeds
@@ -84,7 +84,7 @@
             lambda: self.platform_sync.operator_config.catalog,
             self.directory,
             self._clock,
-            self.fleet_size.count,
+            self.fleet_size.known_hosts,
             cfg.data_centre,
         )
         self._shares = FairShares(self._clock, self._token_rate)
@@ -113,9 +113,13 @@
             self._admission_queue,
             self._retry_budget,
             self._crash_tracker,
-            LeavingEndpoints(
-                self.peers, self.directory, self.metrics, log.info
-            ).note,
+            share_endpoint_notices(
+                self.peers,
+                self.directory,
+                self.chooser.limits,
+                self.metrics,
+                log.info,
+            ),
             self.metrics,
             log.info,
         )
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -176,6 +176,9 @@
         exchange.on_backoff = lambda seconds: self._note_backoff(
             reservation.endpoint, seconds
         )
+        exchange.on_rate_limit = lambda text: self._note_rate_limit(
+            reservation.endpoint, text, exchange.sent_at
+        )
         exchange.on_first_byte = lambda: self._note_first_byte(reservation)
         try:
             attempt = await exchange.run()
@@ -232,6 +235,15 @@
                 lambda: _refuse_for(deps.chooser.seconds_unavailable(service))
             )
 
+    def _note_rate_limit(
+        self,
+        endpoint: ListedEndpoint,
+        text: str | None,
+        sent_at: float | None,
+    ) -> None:
+        if sent_at is not None:
+            self._deps.chooser.limits.note_answer(endpoint, text, sent_at)
+
     def _may_resend(self, reservation: Reservation) -> bool:
         """Return whether the request may be sent to the endpoint again."""
         left = self._job.deadline - self._loop.time()
@@ -254,11 +266,7 @@
         excluded = frozenset(
             self._progress.excluded | {reservation.endpoint.name}
         )
-        other = self._deps.chooser.reserve(self._job, 1, excluded)
-        if other is None:
-            return False
-        self._deps.chooser.release(other)
-        return True
+        return self._deps.chooser.has_room(self._job, excluded)
 
     def _set_timeouts(self, exchange: Exchange) -> None:
         """Limit the wait for the endpoint if a retry elsewhere is allowed."""
--- a/tests/support_links.py
+++ b/tests/support_links.py
@@ -116,6 +116,18 @@
             for handler in self._view_handlers:
                 handler(self.view)
 
+    def broadcast(self, message: Message) -> None:
+        for member in self.view.members:
+            if member.host != self.host:
+                self.send(member.host, message)
+
+    def broadcast_local(self, message: Message) -> None:
+        self.broadcast_to(self.data_centre, message)
+
+    def broadcast_to(self, data_centre: str, message: Message) -> bool:
+        hosts = set(self.view.hosts(data_centre)) - {self.host}
+        return all([self.send(host, message) for host in sorted(hosts)])
+
     def send(self, host: str, message: Message) -> bool:
         if not self.alive or not self._network.reaches(self.host, host):
             return False
