--- a/src/sesamespoke/platform/feeds.py
+++ b/src/sesamespoke/platform/feeds.py
@@ -121,6 +121,7 @@
     name: str, fields: Any, now: float, revision: int
 ) -> ListedEndpoint | None:
     texts = (fields['service'], fields['address'], fields['zone'])
+    version = fields.get('version', '')
     cold_ms = fields.get('cold_remaining_ms', 0)
     slots = fields.get('slots', 1)
     born = fields.get('born', 0)
@@ -132,7 +133,7 @@
         and state in LEAVING
         and _is_address(fields['address'])
     )
-    if not well_formed:
+    if not (well_formed and isinstance(version, str)):
         return None
     service, address, data_centre = texts
     return ListedEndpoint(
@@ -145,6 +146,7 @@
         now + cold_ms / MS_PER_SECOND if cold_ms > 0 else 0,
         int(born),
         revision,
+        version,
     )
 
 
--- a/src/sesamespoke/platform/headers.py
+++ b/src/sesamespoke/platform/headers.py
@@ -14,6 +14,7 @@
 LENGTH_HINT = 'Length-Hint'
 TOKEN_COUNTS = 'Token-Counts'
 PROMPT_PREFIX = 'Prompt-Prefix'
+RESUMES = 'Resumes'
 
 HEADER_NAMES = HeaderNames(
     request_id='Request-Attempt-Id',
@@ -57,6 +58,7 @@
         timeout=_read_timeout(headers),
         prompt=_read_prompt(headers),
         last_event_id=headers.get(HEADER_NAMES.last_event_id, ''),
+        resumed_id=headers.get(RESUMES, ''),
         headers=without(end_to_end(headers), *NOT_FORWARDED),
     )
 
--- a/src/sesamespoke/routing_messages.py
+++ b/src/sesamespoke/routing_messages.py
@@ -4,7 +4,7 @@
 
 from sesamespoke.crash_messages import CrashMessage
 
-EndpointRow = tuple[str, str, str, str, int, bool, int, int, int]
+EndpointRow = tuple[str, str, str, str, str, int, bool, int, int, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,9 +44,9 @@
 
     ``era`` and ``revision`` are the store's; ``digest`` identifies the list and
     ``orders`` the operators' orders in force at the sender. Rows: name,
-    service, address, data centre, slots, leaving, milliseconds of cold
-    start left, incarnation, revision of its entry. Without rows the list is
-    the one of the digest.
+    service, address, data centre, software version, slots, leaving,
+    milliseconds of cold start left, incarnation, revision of its entry.
+    Without rows the list is the one of the digest.
     """
 
     era: int
--- a/src/sesamespoke/serving/call_log.py
+++ b/src/sesamespoke/serving/call_log.py
@@ -9,6 +9,7 @@
     placed = reservation.placement
     return {
         'endpoint': placed.endpoint.name,
+        'software': placed.endpoint.version,
         'running': placed.load.running,
         'unread_ms': round(placed.load.prefill_ms),
         'own_unread_ms': round(placed.prefill_ms),
--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -34,7 +34,8 @@
 
     ``cold_until`` is a time on the event loop's clock. ``born`` identifies
     the incarnation: it differs when an endpoint of the same name restarts.
-    A ``leaving`` endpoint gets no new work. ``revision`` is that of its entry
+    A ``leaving`` endpoint gets no new work. ``version`` is that of its
+    software; empty if unknown. ``revision`` is that of its entry
     in the store, which changes with each of the endpoint's heartbeats.
     """
 
@@ -47,6 +48,7 @@
     cold_until: float = 0
     born: int = 0
     revision: int = field(default=0, compare=False)
+    version: str = ''
 
     @property
     def url(self) -> str:
--- a/src/sesamespoke/serving/endpoint_list_sharing.py
+++ b/src/sesamespoke/serving/endpoint_list_sharing.py
@@ -113,6 +113,7 @@
         endpoint.service,
         endpoint.address,
         endpoint.data_centre,
+        endpoint.version,
         endpoint.slots,
         endpoint.leaving,
         round(cold_seconds * MS_PER_SECOND),
@@ -123,18 +124,18 @@
 
 def _decode_row(row: EndpointRow, now: float) -> ListedEndpoint:
     *texts, slots, leaving, cold_ms, born, revision = row
-    name, service, address, data_centre = texts
-    cold_until = now + cold_ms / MS_PER_SECOND if cold_ms else 0
+    name, service, address, data_centre, version = map(str, texts)
     return ListedEndpoint(
-        str(name),
-        str(service),
-        str(address),
-        str(data_centre),
+        name,
+        service,
+        address,
+        data_centre,
         slots,
         leaving,
-        cold_until,
+        now + cold_ms / MS_PER_SECOND if cold_ms else 0,
         born,
         revision,
+        version,
     )
 
 
--- a/src/sesamespoke/serving/intake.py
+++ b/src/sesamespoke/serving/intake.py
@@ -34,6 +34,7 @@
     timeout: float | None
     prompt: Prompt
     last_event_id: str
+    resumed_id: str
     headers: HeaderRows
 
 
@@ -73,6 +74,7 @@
         priority,
         head.prompt,
         head.last_event_id,
+        head.resumed_id,
     )
 
 
--- a/src/sesamespoke/serving/job.py
+++ b/src/sesamespoke/serving/job.py
@@ -45,7 +45,8 @@
 
     ``headers`` are those that are forwarded to the endpoint. ``digest``
     identifies the path, the caller and the body. ``last_event_id`` is the
-    event after which the caller resumes a stream.
+    event after which the caller resumes a stream, and ``resumed_id`` the
+    request that brought its first event.
     """
 
     request_id: str
@@ -62,3 +63,4 @@
     priority: int = 0
     prompt: Prompt = Prompt()
     last_event_id: str = ''
+    resumed_id: str = ''
