--- a/tests/support_routed.py
+++ b/tests/support_routed.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 from unittest import mock
 
 from support_platform import (
@@ -60,19 +61,42 @@
     engines: dict[str, EngineStandIn] = field(default_factory=dict)
 
     async def add_engine(
-        self, name: str, service: str, handler: RequestHandler
+        self,
+        name: str,
+        service: str,
+        handler: RequestHandler,
+        **changes: Any,
     ) -> EngineStandIn:
+        """Start an engine; ``changes`` are fields of its entry."""
+        engine = await self.add_engine_unlisted(
+            name, service, handler, **changes
+        )
+        directory = self.router.directory
+        await wait_until(lambda: name in directory.endpoints)
+        return engine
+
+    async def add_engine_unlisted(
+        self,
+        name: str,
+        service: str,
+        handler: RequestHandler,
+        **changes: Any,
+    ) -> EngineStandIn:
+        """Start an engine without waiting until the router lists it."""
         engine = EngineStandIn(handler)
         address = await engine.start()
         self.engines[name] = engine
-        self.store.put(f'servers/{name}', server_entry(service, address))
-        directory = self.router.directory
-        await wait_until(lambda: name in directory.endpoints)
+        entry = server_entry(service, address, **changes)
+        self.store.put(f'servers/{name}', entry)
         return engine
 
     async def restart(self) -> None:
         """Replace the router with a new one that has no state."""
         await self.stop()
+        await self.start_router()
+
+    async def start_router(self) -> None:
+        """Start a router that has no state, after the last one has stopped."""
         previous = self.router
         self.router = RoutedRouter(
             previous.cfg, PlatformFeeds(self.client), HEADER_NAMES, read_head
