Keep a stream at the software version that began it

Routers read neither an endpoint's version nor the stream that a caller takes up, so that a stream went on at any endpoint, within one answer as well as over a caller's tries.

The version of a stream was not kept anywhere that outlives its router. The store now holds the versions at which a service's streams may have begun, and, while these are several, the version of each stream of the last 30 s. No stream begins at a version that isn't recorded; a stream that isn't journalled goes on only if there is one version. Otherwise, and where no endpoint of its version is left, it is refused at once.

--- a/src/sesamespoke/serving/platform_sync.py
+++ b/src/sesamespoke/serving/platform_sync.py
@@ -96,7 +96,6 @@
         directory: Directory,
         links: Broadcaster,
         hosts: HostList,
-        list_sharing: EndpointListSharing,
         log: Log,
     ) -> None:
         """Connect the parts; nothing is read before ``start_tasks``."""
@@ -106,9 +105,10 @@
         self._feeds = feeds
         self._directory = directory
         self._hosts = hosts
-        self._list_sharing = list_sharing
+        list_sharing = EndpointListSharing(links, directory, feeds.store.era)
         list_sharing.operator_config_digest = self.operator_config.digest
         list_sharing.on_operator_config_mismatch = self._restart_watch
+        self._list_sharing = list_sharing
         self._watch_task: asyncio.Task[None] | None = None
         self._watch_restarted_at: float = 0
         self._watch_relies_on_reader = False
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -15,7 +15,6 @@
     SharedCrashTracker,
 )
 from sesamespoke.serving.directory import Directory
-from sesamespoke.serving.endpoint_list_sharing import EndpointListSharing
 from sesamespoke.serving.endpoint_notices import share_endpoint_notices
 from sesamespoke.serving.exchange import ExchangeContext, HeaderNames
 from sesamespoke.serving.fairness import FairShares
@@ -34,6 +33,10 @@
 from sesamespoke.serving.serving_dependencies import ServingDependencies
 from sesamespoke.serving.settings import ServingSettings, peer_settings
 from sesamespoke.serving.status_pages import open_pages
+from sesamespoke.serving.stream_versions import (
+    SharedStreamVersions,
+    open_stream_versions,
+)
 from sesamespoke.timeline import Timeline
 
 POOL_SETTINGS = PoolSettings(
@@ -76,7 +79,6 @@
             self.directory,
             self.peers,
             self.peers.host_list,
-            EndpointListSharing(self.peers, self.directory, feeds.store.era),
             log.info,
         )
         self.chooser = Chooser(
@@ -107,12 +109,14 @@
                 feeds.store,
             )
         )
+        self._stream_versions = self._follow_versions(feeds)
         serving = ServingDependencies(
             ExchangeContext(self.pool, names),
             self.chooser,
             self._admission_queue,
             self._retry_budget,
             self._crash_tracker,
+            self._stream_versions,
             share_endpoint_notices(
                 self.peers,
                 self.directory,
@@ -172,6 +176,7 @@
         self._tasks = [
             *self.platform_sync.start_tasks(),
             *self._loads.start_tasks(),
+            *self._stream_versions.start_tasks(),
             asyncio.create_task(self.pressure.run()),
             asyncio.create_task(self._crash_tracker.keep_records()),
         ]
@@ -200,6 +205,16 @@
             self._admission_queues[service] = queue
         return queue
 
+    def _follow_versions(self, feeds: Feeds) -> SharedStreamVersions:
+        return open_stream_versions(
+            self.cfg.host,
+            feeds.store,
+            self.directory,
+            lambda: self.platform_sync.operator_config.catalog,
+            self.fleet_size.count,
+            log.info,
+        )
+
     def _token_rate(self) -> float:
         """Return the configured capacity of all engines in tokens/s."""
         catalog = self.platform_sync.operator_config.catalog
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -104,11 +104,17 @@
         self._payment = RetryReservation(deps.retry_budget(job.service))
         self._loop = asyncio.get_running_loop()
         self._proof: asyncio.TimerHandle | None = None
+        self._version: str | None = None
 
     async def serve(self) -> Answer | Refusal | None:
         """Return the final response, or None if it was relayed in full."""
         self._deps.retry_budget(self._job.service).record_request()
         with contextlib.closing(self._payment):
+            if self._job.route.resumable and self._job.last_event_id:
+                found = await self._deps.stream_versions.find(self._job)
+                if isinstance(found, Refusal):
+                    return self._finish(found)
+                self._version = found
             return await self._serve()
 
     async def _serve(self) -> Answer | Refusal | None:
@@ -124,13 +130,20 @@
                         retry_after=blocked_for,
                     )
                 )
+            gone = self._deps.stream_versions.refuse_if_gone(
+                job, self._bound_version
+            )
+            if gone is not None:
+                return self._finish(gone)
             unavailable_for = self._deps.chooser.seconds_unavailable(
                 job.service
             )
             if unavailable_for:
                 return self._finish(_refuse_for(unavailable_for))
             reservation = await queue.admit(
-                job, self._reserve, is_retry=progress.sends > 0
+                job,
+                self._reserve,
+                is_retry=progress.sends > 0 or self._bound_version is not None,
             )
             if isinstance(reservation, Refusal):
                 return self._finish(reservation)
@@ -144,11 +157,28 @@
                 return self._finish(self._response_after(attempt))
             progress.excluded.add(reservation.endpoint.name)
 
+    @property
+    def _bound_version(self) -> str | None:
+        """Return the version at which the caller's events were made, if any."""
+        if self._job.last_event_id or self._reply.started:
+            return self._version
+        return None
+
     def _reserve(
         self, job: Job, utilisation_limit: float
     ) -> Reservation | None:
+        return self._deps.chooser.reserve(
+            job, utilisation_limit, self._excluded()
+        )
+
+    def _excluded(self) -> frozenset[str]:
+        """Return the endpoints that this request must not be sent to."""
         excluded = frozenset(self._progress.excluded)
-        return self._deps.chooser.reserve(job, utilisation_limit, excluded)
+        if not self._job.route.resumable:
+            return excluded
+        return excluded | self._deps.stream_versions.excluded(
+            self._job, self._bound_version
+        )
 
     async def _run_attempt(
         self, reservation: Reservation
@@ -213,6 +243,9 @@
         answer clears a request only after ``PROOF_SECONDS``.
         """
         self._deps.chooser.loads.end_prefill(reservation.in_flight)
+        if self._job.route.resumable:
+            self._version = reservation.endpoint.version
+            self._deps.stream_versions.note_begun(self._job, self._version)
         tracker, job = self._deps.crash_tracker, self._job
         if tracker.is_suspected(job):
             self._proof = self._loop.call_later(
@@ -263,9 +296,7 @@
             return False
         if not self._payment.spend():
             return False
-        excluded = frozenset(
-            self._progress.excluded | {reservation.endpoint.name}
-        )
+        excluded = self._excluded() | {reservation.endpoint.name}
         return self._deps.chooser.has_room(self._job, excluded)
 
     def _set_timeouts(self, exchange: Exchange) -> None:
--- a/src/sesamespoke/serving/serving_dependencies.py
+++ b/src/sesamespoke/serving/serving_dependencies.py
@@ -11,6 +11,7 @@
 from sesamespoke.serving.exchange import ExchangeContext
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.retry_budget import WindowedRetryBudget
+from sesamespoke.verdicts import Refusal
 
 
 class Log(Protocol):
@@ -58,6 +59,25 @@
         """Record a complete answer, which began at a time of the clock."""
 
 
+class StreamVersions(Protocol):
+    """Decides at which software versions a resumable stream may run.
+
+    ``version`` is the one that began it; None if none has yet.
+    """
+
+    def note_begun(self, job: Job, version: str) -> None:
+        """Record that a stream's first event has come from a version."""
+
+    async def find(self, job: Job) -> str | Refusal:
+        """Return the version of a stream that a caller takes up."""
+
+    def excluded(self, job: Job, version: str | None) -> frozenset[str]:
+        """Return the endpoints that must not be used for a stream."""
+
+    def refuse_if_gone(self, job: Job, version: str | None) -> Refusal | None:
+        """Return a refusal if no endpoint can go on with a stream."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServingDependencies:
     """The components of the router that serve requests.
@@ -70,6 +90,7 @@
     admission_queue: Callable[[str], AdmissionQueue[Reservation]]
     retry_budget: Callable[[str], WindowedRetryBudget]
     crash_tracker: CrashTracker
+    stream_versions: StreamVersions
     note_leaving: Callable[[ListedEndpoint], None]
     metrics: Metrics
     log: Log
--- /dev/null
+++ b/src/sesamespoke/serving/stream_journal.py
@@ -0,0 +1,194 @@
+"""Which software version began each stream, for routers that didn't begin it.
+
+While a service runs several versions, each router writes the ids of its new
+streams to the store, in batches. A caller whose router has gone takes its
+stream up at another one, which reads them there.
+"""
+
+import asyncio
+import json
+import secrets
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from sesamespoke.checked_fields import MALFORMED
+from sesamespoke.serving.platform_interface import PlatformStore
+from sesamespoke.serving.shared_read import SharedRead
+from sesamespoke.store import (
+    Absent,
+    Delete,
+    Entry,
+    Lease,
+    Put,
+    StoreUnavailable,
+)
+
+JOURNAL_PREFIX = 'sesamespoke/streams/'
+RETAIN_SECONDS = 30.0
+"""Time after its first event for which a stream is kept; its caller stops
+trying before."""
+LEASE_SECONDS = 2 * RETAIN_SECONDS
+MIN_BATCH_SECONDS = 0.4
+BATCH_SECONDS_PER_HOST = 0.01
+"""The fleet makes at most 100 such writes a second."""
+MAX_BATCHES = 8
+"""Batches of a process in the store, from which they are written as one."""
+TOKEN_BYTES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class _Stream:
+    service: str
+    version: str
+    begun_at: float
+
+
+class StreamJournal:
+    """The streams begun here, and those of other routers in the store.
+
+    ``is_needed`` tells whether streams of a service are written to the store,
+    and ``hosts`` by how many routers.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        store: PlatformStore,
+        clock: Callable[[], float],
+        is_needed: Callable[[str], bool],
+        hosts: Callable[[], int | None],
+    ) -> None:
+        """Start without streams; ``run`` writes them."""
+        self._store = store
+        self._clock = clock
+        self._is_needed = is_needed
+        self._hosts = hosts
+        # A process must not replace the batches of the one before it.
+        self._prefix = (
+            f'{JOURNAL_PREFIX}{host}/{secrets.token_hex(TOKEN_BYTES)}'
+        )
+        self._streams: dict[str, _Stream] = {}
+        self._unwritten: set[str] = set()
+        self._batches: list[str] = []
+        self._batch_number = 0
+        self._lease: Lease | None = None
+        self._found: Mapping[str, str] = {}
+        self._load = SharedRead(self._read)
+        store.era.listeners.append(self._write_again)
+
+    def note_begun(self, stream_id: str, service: str, version: str) -> None:
+        """Record the version of a stream whose first event has come."""
+        self._streams.pop(stream_id, None)
+        self._streams[stream_id] = _Stream(service, version, self._clock())
+        self._unwritten.add(stream_id)
+
+    def version_of(self, stream_id: str) -> str | None:
+        """Return the version that began a stream, as far as it is known."""
+        stream = self._streams.get(stream_id)
+        return stream.version if stream else self._found.get(stream_id)
+
+    async def load(self) -> bool:
+        """Read what the routers have written; return whether that worked."""
+        return await self._load.get()
+
+    @property
+    def batch_seconds(self) -> float:
+        """Return the interval at which new streams are written."""
+        hosts = self._hosts() or 0
+        return max(MIN_BATCH_SECONDS, hosts * BATCH_SECONDS_PER_HOST)
+
+    async def run(self) -> None:
+        """Write new streams until cancelled."""
+        while True:
+            await asyncio.sleep(self.batch_seconds)
+            self._drop_old()
+            await self._write()
+
+    def _write_again(self) -> None:
+        """Write all streams again: a store from a copy may lack them."""
+        self._lease = None
+        self._batches.clear()
+        self._unwritten.update(self._streams)
+
+    def _drop_old(self) -> None:
+        oldest = self._clock() - RETAIN_SECONDS
+        for stream_id, stream in tuple(self._streams.items()):
+            if stream.begun_at >= oldest:
+                return
+            del self._streams[stream_id]
+            self._unwritten.discard(stream_id)
+
+    def _due(self, ids: set[str]) -> set[str]:
+        return {
+            each for each in ids if self._is_needed(self._streams[each].service)
+        }
+
+    async def _write(self) -> None:
+        due = self._due(self._unwritten)
+        if not due:
+            return
+        old: list[str] = []
+        if len(self._batches) >= MAX_BATCHES:
+            old = self._batches
+            due = self._due(set(self._streams))
+        lease = await self._renew_lease()
+        if lease is None:
+            return
+        self._batch_number += 1
+        key = f'{self._prefix}/{self._batch_number}'
+        put = Put(key, self._encode(due), lease.number)
+        era = self._store.era.number
+        written = await self._store.transact((), (put, *map(Delete, old)))
+        if era != self._store.era.number:
+            return
+        if isinstance(written, StoreUnavailable):
+            # The lease may have ended, and with it all that was written.
+            self._write_again()
+            return
+        self._batches = [each for each in self._batches if each not in old]
+        self._batches.append(key)
+        self._unwritten -= due
+
+    async def _renew_lease(self) -> Lease | None:
+        lease = self._lease
+        if lease and lease.expires_at - self._clock() > RETAIN_SECONDS:
+            return lease
+        renewed = (
+            await self._store.renew_lease(lease) if lease else Absent('', 0)
+        )
+        if isinstance(renewed, Absent):
+            self._write_again()
+            renewed = await self._store.grant_lease(LEASE_SECONDS)
+        if isinstance(renewed, StoreUnavailable):
+            return None
+        self._lease = renewed
+        return renewed
+
+    def _encode(self, ids: set[str]) -> bytes:
+        by_version: dict[str, list[str]] = {}
+        for stream_id in ids:
+            version = self._streams[stream_id].version
+            by_version.setdefault(version, []).append(stream_id)
+        return json.dumps(by_version).encode()
+
+    async def _read(self) -> bool:
+        listed = await self._store.scan(JOURNAL_PREFIX)
+        if isinstance(listed, StoreUnavailable):
+            return False
+        found: dict[str, str] = {}
+        for entry in listed:
+            found.update(_decode(entry))
+        self._found = found
+        return True
+
+
+def _decode(entry: Entry) -> dict[str, str]:
+    """Return the versions of the streams of a batch; none if malformed."""
+    try:
+        return {
+            str(stream_id): str(version)
+            for version, ids in json.loads(entry.content).items()
+            for stream_id in ids
+        }
+    except MALFORMED:
+        return {}
--- /dev/null
+++ b/src/sesamespoke/serving/stream_versions.py
@@ -0,0 +1,173 @@
+"""Keeps each stream at endpoints of the software version that began it.
+
+What two versions write doesn't fit together, and endpoints don't check it. A
+stream whose version is unknown, or has no endpoint left, can't go on.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from functools import partial
+from itertools import chain
+
+from sesamespoke.serving.catalog import Catalog
+from sesamespoke.serving.directory import Directory
+from sesamespoke.serving.job import Job
+from sesamespoke.serving.platform_interface import PlatformStore
+from sesamespoke.serving.serving_dependencies import Log
+from sesamespoke.serving.stream_journal import StreamJournal
+from sesamespoke.serving.version_records import VersionRecords
+from sesamespoke.store import StoreUnavailable
+from sesamespoke.verdicts import Reason, Refusal, Verdict
+
+LOOKUPS = 2
+"""Times that the store is read for a stream; its first event may have come just
+before its router went."""
+UNKNOWN_RETRY_SECONDS = 0.5
+
+VERSION_UNKNOWN = Reason(
+    'stream_version_unknown',
+    503,
+    'server_error',
+    'the software version that began this stream is not known now',
+)
+VERSION_GONE = Reason(
+    'stream_version_gone',
+    503,
+    'server_error',
+    'no endpoint of the software version that began this stream is left',
+)
+_Key = tuple[str, frozenset[str]]
+
+
+class SharedStreamVersions:
+    """Knows versions from the store, so that they outlive all routers."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        records: VersionRecords,
+        journal: StreamJournal,
+    ) -> None:
+        """Connect the parts; ``start_tasks`` starts them."""
+        self._directory = directory
+        self._records = records
+        self._journal = journal
+        self._others: dict[_Key, frozenset[str]] = {}
+        directory.listeners.append(self._forget_others)
+
+    def start_tasks(self) -> list[asyncio.Task[None]]:
+        """Start the tasks that follow and write versions, and return them."""
+        loops = (self._records.run(), self._journal.run())
+        return [asyncio.create_task(loop) for loop in loops]
+
+    def note_begun(self, job: Job, version: str) -> None:
+        """Record that a stream's first event has come from a version."""
+        stream_id = job.resumed_id if job.last_event_id else job.request_id
+        self._journal.note_begun(stream_id, job.service, version)
+
+    async def find(self, job: Job) -> str | Refusal:
+        """Return the version of a stream that a caller takes up."""
+        for lookup in range(LOOKUPS):
+            if lookup:
+                await asyncio.sleep(self._journal.batch_seconds)
+            version = self._journal.version_of(job.resumed_id)
+            if version is not None:
+                return version
+            record, is_loaded = await asyncio.gather(
+                self._records.read(job.service), self._journal.load()
+            )
+            if isinstance(record, StoreUnavailable) or not is_loaded:
+                break
+            version = self._journal.version_of(job.resumed_id)
+            if version is not None:
+                return version
+            if len(record.active) == 1:
+                return next(iter(record.active))
+        return Refusal(
+            VERSION_UNKNOWN, Verdict.NOT_RUN, retry_after=UNKNOWN_RETRY_SECONDS
+        )
+
+    def excluded(self, job: Job, version: str | None) -> frozenset[str]:
+        """Return the endpoints that must not be used for a stream.
+
+        A version that isn't recorded is used while the store is away, if
+        there is no other.
+        """
+        if version is not None:
+            return self._outside(job.service, frozenset((version,)))
+        known = self._records.known(job.service)
+        active = known.active if known else frozenset()
+        excluded = self._outside(job.service, active)
+        if self._records.is_store_away and not self._is_any_usable(
+            job.service, excluded
+        ):
+            return frozenset()
+        return excluded
+
+    def refuse_if_gone(self, job: Job, version: str | None) -> Refusal | None:
+        """Return a refusal if no endpoint can go on with a stream."""
+        if version is None:
+            return None
+        excluded = self._outside(job.service, frozenset((version,)))
+        if self._is_any_usable(job.service, excluded):
+            return None
+        return Refusal(VERSION_GONE, Verdict.NOT_RUN)
+
+    def _is_any_usable(self, service: str, excluded: frozenset[str]) -> bool:
+        usable = self._directory.usable(service)
+        return any(endpoint.name not in excluded for endpoint in usable)
+
+    def _outside(
+        self, service: str, versions: frozenset[str]
+    ) -> frozenset[str]:
+        """Return the endpoints of a service that run no such version."""
+        key = (service, versions)
+        others = self._others.get(key)
+        if others is None:
+            others = frozenset(
+                endpoint.name
+                for endpoint in self._directory.listed(service)
+                if endpoint.version not in versions
+            )
+            self._others[key] = others
+        return others
+
+    def _forget_others(self, directory: Directory) -> None:
+        self._others.clear()
+
+
+def resumable_services(
+    catalog: Callable[[], Catalog | None],
+) -> Iterator[str]:
+    """Return the services of routes whose streams may be resumed."""
+    current = catalog()
+    routes = chain.from_iterable(current.routes.values() if current else ())
+    services = {
+        each.service
+        for route in routes
+        if route.resumable
+        for each in route.weighted_services
+    }
+    return iter(sorted(services))
+
+
+def open_stream_versions(
+    host: str,
+    store: PlatformStore,
+    directory: Directory,
+    catalog: Callable[[], Catalog | None],
+    hosts: Callable[[], int | None],
+    log: Log,
+) -> SharedStreamVersions:
+    """Return the versions of a router's streams, within its event loop."""
+    clock = asyncio.get_running_loop().time
+    records = VersionRecords(
+        store, directory, partial(resumable_services, catalog), clock, log
+    )
+
+    def is_needed(service: str) -> bool:
+        known = records.known(service)
+        return known is not None and known.are_mixed
+
+    journal = StreamJournal(host, store, clock, is_needed, hosts)
+    return SharedStreamVersions(directory, records, journal)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -87,7 +87,7 @@
         await wait_until(lambda: knows_versions(fleet, {'v1', 'v2'}))
         for number in range(STREAMS):
             caller = await fleet.connect()
-            caller.send('/s/1', request_id=f'r{number}')
+            caller.send('/s/1', 'Connection: close', request_id=f'r{number}')
             body = await caller.reader.read()
             assert not (b'data: v1' in body and b'data: v2' in body)
         assert not any(
@@ -190,5 +190,5 @@
 
 def knows_versions(fleet: Fleet, versions: set[str]) -> bool:
     """Return whether new streams may begin at these versions."""
-    endpoints = fleet.router.directory.endpoints.values()
-    return versions <= {each.version for each in endpoints}
+    known = fleet.router._stream_versions._records.known('llm')
+    return known is not None and versions <= known.active
