Send a stream that is taken up to the service that began it

Where a route splits its traffic between services, the id of a request decides which one gets it. A caller that takes up a stream sends another id, so that half of the streams of an even split went on at another service than the one that began them. The id that decides is now that of the request which began the stream.

The test fails without the change (streams of one service hold events of the other). A service that a configuration adds no longer waits up to 0.3 s for its record. Changed weights between two tries of a caller can still move its stream; that was not mended.

--- a/src/sesamespoke/serving/intake.py
+++ b/src/sesamespoke/serving/intake.py
@@ -62,7 +62,7 @@
     return Job(
         head.request_id,
         tenancy.account,
-        choose_service(route, head.request_id),
+        choose_service(route, _first_id_of(head)),
         route,
         call.method,
         call.target,
@@ -78,6 +78,12 @@
     )
 
 
+def _first_id_of(head: RequestHead) -> str:
+    """Return the id of the request that began the stream, if one is resumed."""
+    is_resumed = bool(head.last_event_id and head.resumed_id)
+    return head.resumed_id if is_resumed else head.request_id
+
+
 def refuse_for_now(
     retry_after: float = NOT_READY_RETRY_SECONDS,
 ) -> Refusal:
--- a/src/sesamespoke/serving/version_records.py
+++ b/src/sesamespoke/serving/version_records.py
@@ -34,7 +34,8 @@
 CHECK_SECONDS = 0.3
 """Interval at which the listed versions are compared with the records."""
 START_SECONDS = 0.05
-"""The same while no record has been read: no stream can begin."""
+"""The same while a record has not been read: no stream of its service can
+begin."""
 MAX_JITTER_SECONDS = 0.2
 """Routers see a new version at the same time, and one of them records it."""
 ACTIVATION_SECONDS = 1.5
@@ -121,9 +122,11 @@
     async def run(self) -> None:
         """Keep the records up to date until cancelled."""
         while True:
-            for service in self._services():
+            services = tuple(self._services())
+            for service in services:
                 await self._check(service)
-            await asyncio.sleep(CHECK_SECONDS if self._known else START_SECONDS)
+            are_known = services and self._known.keys() >= set(services)
+            await asyncio.sleep(CHECK_SECONDS if are_known else START_SECONDS)
 
     def _forget(self) -> None:
         """Read the records again: a store from a copy may lack changes."""
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,10 +1,12 @@
 """Streams of services whose endpoints run different software versions."""
 
 import asyncio
+import copy
 
 import pytest
 from support_platform import (
     CHUNKED,
+    CONFIG,
     LAST_CHUNK,
     ReceivedRequest,
     RequestHandler,
@@ -188,6 +190,46 @@
     run_with_fleet(steps)
 
 
+def test_stream_that_is_taken_up_goes_to_the_service_that_began_it() -> None:
+    async def steps(fleet: Fleet) -> None:
+        await split_streams(fleet, 'llm', 'llm-b')
+        for service in ('llm', 'llm-b'):
+            await fleet.add_engine(
+                f'i-{service}', service, stalling_engine_of(service)
+            )
+        versions = fleet.router._stream_versions
+        await wait_until(lambda: versions._records.known('llm-b') is not None)
+        begun = [
+            await begin_stream(fleet, f'r{number}') for number in range(STREAMS)
+        ]
+        services = [service for _, service in begun]
+        assert set(services) == {'llm', 'llm-b'}
+        for number, service in enumerate(services):
+            status, body = await take_up(fleet, f'r{number}', number)
+            assert status == 200
+            assert body.count(f'data: {service}\n'.encode()) == LAST_EVENT - 1
+
+    run_with_fleet(steps)
+
+
+async def split_streams(fleet: Fleet, *services: str) -> None:
+    """Split the streams of the route evenly between services."""
+    config = copy.deepcopy(CONFIG)
+    config['version'] += 1
+    model = config['services'][0]
+    config['services'] += [{**model, 'name': name} for name in services[1:]]
+    split = [{'service': name, 'weight': 1} for name in services]
+    config['routes'][0]['traffic_split'] = split
+    fleet.store.put('op/config', config)
+    sync = fleet.router.platform_sync
+    await wait_until(
+        lambda: (
+            sync.operator_config.catalog is not None
+            and sync.operator_config.catalog.version == config['version']
+        )
+    )
+
+
 def knows_versions(fleet: Fleet, versions: set[str]) -> bool:
     """Return whether new streams may begin at these versions."""
     known = fleet.router._stream_versions._records.known('llm')
