Let a stream that goes on come before new requests

A taken-up stream may use only the engines of one version, and waited behind its account's new requests.

Streams that go on, within one answer or over a caller's tries, are now tried at once and first, and may use all capacity, whatever their account's share. The new test fails before.

--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -72,6 +72,7 @@
     fut: asyncio.Future[GrantT | Refusal]
     expires_at: float
     reserve: Reserve[GrantT]
+    is_retry: bool
 
 
 _Queue = list[_Waiter[GrantT]]
@@ -118,13 +119,15 @@
         """Return a grant as soon as capacity is free, or a refusal.
 
         A retry has waited before, and part of its answer may have been
-        delivered. Its waiting time starts anew, and it is queued however
-        many requests wait.
+        delivered. Its waiting time starts anew, it is queued however many
+        requests wait, comes before the new ones and may use all capacity.
         """
         if not is_retry:
             self._record_request(job)
-        if job.account not in self._queues:
-            grant = reserve(job, self._shares.utilisation_limit(job.account))
+        if is_retry or job.account not in self._queues:
+            grant = reserve(
+                job, self._utilisation_limit(job, is_retry=is_retry)
+            )
             if grant is not None:
                 self._record_grant(job)
                 return grant
@@ -139,6 +142,7 @@
             asyncio.get_running_loop().create_future(),
             expires_at,
             reserve,
+            is_retry,
         )
         self._add(waiter)
         try:
@@ -199,22 +203,32 @@
     def _next_account(self, blocked: set[str]) -> str:
         """Return the account with the least usage that isn't blocked.
 
-        Accounts that recent passes tried without success come last.
+        Accounts that recent passes tried without success come last, and
+        those with a retry first.
         """
         return min(
             self._queues.keys() - blocked,
-            key=lambda name: (name in self._tried, self._shares.used(name)),
+            key=lambda name: (
+                name in self._tried,
+                not self._queues[name][0].is_retry,
+                self._shares.used(name),
+            ),
         )
 
+    def _utilisation_limit(self, job: Job, *, is_retry: bool) -> float:
+        return 1 if is_retry else self._shares.utilisation_limit(job.account)
+
     def _grant_one(self, account: str, max_tries: int) -> tuple[bool, int]:
         """Grant an account's most urgent request that can be placed.
 
         Returns whether there was one, and how many were tried.
         """
-        utilisation_limit = self._shares.utilisation_limit(account)
         waiters = self._queues[account][: min(MAX_TRIES_PER_ACCOUNT, max_tries)]
         for tries, waiter in enumerate(waiters, start=1):
-            grant = waiter.reserve(waiter.job, utilisation_limit)
+            job = waiter.job
+            grant = waiter.reserve(
+                job, self._utilisation_limit(job, is_retry=waiter.is_retry)
+            )
             if grant is not None:
                 self._record_grant(waiter.job)
                 self._remove(waiter)
@@ -304,10 +318,14 @@
             self._schedule_in(SCHEDULING_INTERVAL_SECONDS)
 
 
-def _urgency_of(waiter: _Waiter[GrantT]) -> tuple[int, float]:
-    """Return the sort key within an account: priority, then due time."""
+def _urgency_of(waiter: _Waiter[GrantT]) -> tuple[bool, int, float]:
+    """Return the sort key within an account: priority, then due time.
+
+    Retries come first.
+    """
     job = waiter.job
-    return job.priority, job.arrived_at + job.route.objective
+    due_at = job.arrived_at + job.route.objective
+    return not waiter.is_retry, job.priority, due_at
 
 
 def _ignore(account: str, cost: float) -> None:
--- a/tests/test_serving_admission.py
+++ b/tests/test_serving_admission.py
@@ -393,3 +393,34 @@
         await waiting
 
     run(steps())
+
+
+def test_stream_that_goes_on_comes_before_new_requests() -> None:
+    async def steps() -> None:
+        pool = SlotPool()
+        queue, loop = pool.queues[0], asyncio.get_running_loop()
+        pool.free_slots = 0
+        order: list[str] = []
+
+        async def admit(account: str, number: int, *, is_retry: bool) -> None:
+            name = f'{account}{number}{is_retry}'
+            job = job_of(account, arrived_at=loop.time(), request_id=name)
+            grant = await queue.admit(job, pool.reserve, is_retry=is_retry)
+            assert grant == name
+            order.append(name)
+
+        pool.shares[0].add_usage('a', 1000)
+        tasks = [
+            asyncio.create_task(admit(account, number, is_retry=False))
+            for account in ('a', 'b')
+            for number in range(3)
+        ]
+        await asyncio.sleep(0)
+        tasks.append(asyncio.create_task(admit('a', 9, is_retry=True)))
+        await asyncio.sleep(0)
+        pool.free_slots = len(tasks)
+        queue.schedule()
+        await asyncio.gather(*tasks)
+        assert order[0] == 'a9True'
+
+    run(steps())
