Restart the loops of stream versions after an unexpected exception

They now run like the other followers of the store, whose restart moves to a module of its own. No such exception was seen. Tests of versions, admission and the restored store pass.

--- a/src/sesamespoke/serving/platform_sync.py
+++ b/src/sesamespoke/serving/platform_sync.py
@@ -8,11 +8,10 @@
 import asyncio
 import json
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import aclosing, suppress
 from dataclasses import dataclass
 
-import structlog
 import xxhash
 
 from sesamespoke.checked_fields import MALFORMED
@@ -39,16 +38,17 @@
     Feeds,
     OperatorUpdate,
 )
+from sesamespoke.serving.restarting_tasks import (
+    RETRY_SECONDS,
+    is_cancelled,
+    run_with_restarts,
+)
 from sesamespoke.serving.serving_dependencies import Log
 from sesamespoke.serving.settings import ServingSettings
 from sesamespoke.settings import Address
 from sesamespoke.store import Entry, StoreUnavailable
 
 TIMER_SLACK_SECONDS = 0.05
-RETRY_SECONDS = 0.3
-"""Delay before a failed store call is retried."""
-
-log = structlog.get_logger()
 
 
 @dataclass(slots=True)
@@ -136,23 +136,7 @@
             self._follow_hosts,
             self._registration.run,
         )
-        return [
-            asyncio.create_task(self._run_with_restarts(loop)) for loop in loops
-        ]
-
-    async def _run_with_restarts(
-        self, loop: Callable[[], Awaitable[None]]
-    ) -> None:
-        """Run a loop and restart it after an unexpected exception.
-
-        Without the restart, the router would continue with stale data.
-        """
-        while not _is_cancelled():
-            try:
-                await loop()
-            except Exception:
-                log.exception('follower_failed', loop=loop.__name__)
-                await asyncio.sleep(RETRY_SECONDS)
+        return [asyncio.create_task(run_with_restarts(loop)) for loop in loops]
 
     async def _follow_orders(self) -> None:
         """Watch the operator entries; restart when a peer has others."""
@@ -163,7 +147,7 @@
             )
             with suppress(asyncio.CancelledError):
                 await self._watch_task
-            if _is_cancelled():
+            if is_cancelled():
                 self._watch_task.cancel()
                 return
 
@@ -382,11 +366,5 @@
         return None
 
 
-def _is_cancelled() -> bool:
-    """Return whether the current task, not one it awaits, is cancelled."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def _ignore_catalog(catalog: Catalog) -> None:
     """Do nothing: the default for ``PlatformSync.on_catalog``."""
--- a/src/sesamespoke/serving/stream_versions.py
+++ b/src/sesamespoke/serving/stream_versions.py
@@ -13,6 +13,7 @@
 from sesamespoke.serving.directory import Directory
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.platform_interface import PlatformStore
+from sesamespoke.serving.restarting_tasks import run_with_restarts
 from sesamespoke.serving.serving_dependencies import Log
 from sesamespoke.serving.stream_journal import StreamJournal
 from sesamespoke.serving.version_records import VersionRecords
@@ -57,8 +58,8 @@
 
     def start_tasks(self) -> list[asyncio.Task[None]]:
         """Start the tasks that follow and write versions, and return them."""
-        loops = (self._records.run(), self._journal.run())
-        return [asyncio.create_task(loop) for loop in loops]
+        loops = (self._records.run, self._journal.run)
+        return [asyncio.create_task(run_with_restarts(loop)) for loop in loops]
 
     def note_begun(self, job: Job, version: str) -> None:
         """Record that a stream's first event has come from a version."""
