Soak engines that name a limit

A kind of disruption of its own: half of the engines name 1.5 requests a second for 8 to 16 s, and no engine may get more than the rule allows in any four seconds. A short run of it is part of the tests; a test shows that one request too many is found.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,6 +17,7 @@
     'over_retry_budget',
     'poison_retries',
     'over_cold_limit',
+    'over_named_limit',
     'unknown_requests',
     'lost',
     'died',
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -11,6 +11,8 @@
     COLD_BOUND,
     CONTACT_SECONDS,
     KINDS,
+    LIMIT_BOUND,
+    LIMIT_WINDOW,
     RETRY_RATIO,
     RETRY_WINDOW,
 )
@@ -68,6 +70,7 @@
         'over_retry_budget': _over_budget(tries, seen, slack),
         'poison_retries': _poison_retries(ordered, by_id),
         'over_cold_limit': _over_cold(ordered),
+        'over_named_limit': _over_named_limit(ordered),
         'unknown_requests': [key for key in seen if key not in by_id],
     }
     return {
@@ -214,6 +217,32 @@
     ]
 
 
+def _over_named_limit(rows: list[Row]) -> list[str]:
+    """Return the engines that got more than the limit that they name.
+
+    It holds from a while after an engine first named it, as long as it does.
+    """
+    since: dict[str, float] = {}
+    counted: defaultdict[str, list[float]] = defaultdict(list)
+    cases = []
+    for row in rows:
+        name = row.get('name', '')
+        if row['e'] != 'arrive':
+            continue
+        if not row['limited']:
+            since.pop(name, None)
+            counted.pop(name, None)
+            continue
+        if row['t'] < since.setdefault(name, row['t']) + CONTACT_SECONDS:
+            continue
+        times = counted[name]
+        times.append(row['t'])
+        count = _count(times, row['t'] - LIMIT_WINDOW, row['t'])
+        if count > LIMIT_BOUND:
+            cases.append(f'{name}: {count} until {row["t"]:.1f}')
+    return cases
+
+
 def lost(tries: Sequence[Try], rows: Iterable[Row]) -> list[str]:
     """Return requests that were taken and ended without a whole answer.
 
--- a/tests/soak/conduct.py
+++ b/tests/soak/conduct.py
@@ -18,7 +18,15 @@
 from soak.callers import Balancer, Caller, Try
 from soak.checks import judge, lost, outcomes, repeats_at_most
 from soak.engine import post
-from soak.faults import ALL_KINDS, DECEIT, KINDS, PLANNED, Fault, draw
+from soak.faults import (
+    ALL_KINDS,
+    DECEIT,
+    KINDS,
+    LIMITED,
+    PLANNED,
+    Fault,
+    draw,
+)
 from soak.links import NO_ANSWERS, NO_REQUESTS, OPEN, RESET, SILENT, Link
 from soak.site import (
     BEAT_SECONDS,
@@ -261,7 +269,7 @@
             await self.freeze(fault)
         elif kind == 'reload router':
             self.children.signal(fault.targets[0], signal.SIGHUP)
-        elif kind in {'engines', 'all engines', DECEIT}:
+        elif kind in {'engines', 'all engines', DECEIT, LIMITED}:
             await self.spoil_engines(fault)
         elif kind == 'store':
             await self.spoil_store(fault)
--- a/tests/soak/engine.py
+++ b/tests/soak/engine.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from soak.site import NAMED_LIMIT
+
 QUEUE = 24
 POISON = 'poison'
 IDLE_SECONDS = 8.0
@@ -85,6 +87,12 @@
         left = self.cold_until - time.monotonic()
         return max(0, round(left * 1000))
 
+    def limit_rows(self) -> tuple[str, ...]:
+        """Return the header that names a limit, while there is one."""
+        if self.mode != 'limit':
+            return ()
+        return (f'Server-Limit: {NAMED_LIMIT}',)
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -130,6 +138,7 @@
             tenant=headers.get('tenant', ''),
             target=line.split()[1],
             cold=self.cold_ms() > 0 and is_expected,
+            limited=self.mode == 'limit' and is_expected,
         )
         if not is_expected:
             writer.write(answer_bytes(request_id, 421, b''))
@@ -137,7 +146,8 @@
         hit = self.rng.random() < self.part
         if hit and self.mode == 'shed' or self.queued >= QUEUE:
             self.tell('reject', request_id)
-            writer.write(answer_bytes(request_id, 503, b'', 'Not-Executed: 1'))
+            rows = ('Not-Executed: 1', *self.limit_rows())
+            writer.write(answer_bytes(request_id, 503, b'', *rows))
             return
         if hit and self.mode == 'reset':
             raise Gone
@@ -161,7 +171,8 @@
                 await self.places.acquire()
         except TimeoutError:
             self.tell('reject', request_id)
-            writer.write(answer_bytes(request_id, 503, b'', 'Not-Executed: 1'))
+            rows = ('Not-Executed: 1', *self.limit_rows())
+            writer.write(answer_bytes(request_id, 503, b'', *rows))
             return
         finally:
             self.queued -= 1
@@ -192,14 +203,15 @@
             raise Gone
         events = int(headers.get('soak-events', 0))
         if not events:
-            answer = sealed(request_id, 200, f'{request_id} ok'.encode())
+            body = f'{request_id} ok'.encode()
+            answer = sealed(request_id, 200, body, *self.limit_rows())
             writer.write(answer)
             self.tell('end', request_id)
             if hit and self.mode == 'twice':
                 self.send_later(writer, answer)
             return
         after = int(headers.get('last-event-id') or 0)
-        writer.write(sealed(request_id, 200, None))
+        writer.write(sealed(request_id, 200, None, *self.limit_rows()))
         for number in range(after + 1, events + 1):
             if writer.transport.is_closing():
                 self.tell('left', request_id)
@@ -255,10 +267,11 @@
     return '\r\n'.join(lines).encode() + b'\r\n\r\n' + (body or b'')
 
 
-def sealed(request_id: str, status: int, body: bytes | None) -> bytes:
-    return answer_bytes(
-        request_id, status, body, f'Response-Seal: seal-{request_id}'
-    )
+def sealed(
+    request_id: str, status: int, body: bytes | None, *rows: str
+) -> bytes:
+    seal = f'Response-Seal: seal-{request_id}'
+    return answer_bytes(request_id, status, body, seal, *rows)
 
 
 def chunk(content: bytes) -> bytes:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -64,7 +64,8 @@
 }
 """Kinds of faults, and how often each comes against the others."""
 DECEIT = 'lying engines'
-ALL_KINDS = {**KINDS, DECEIT: 4.0}
+LIMITED = 'limited engines'
+ALL_KINDS = {**KINDS, DECEIT: 4.0, LIMITED: 4.0}
 """With those that a soak has only when it names them, so that the days of
 earlier seeds stay as they were."""
 DECEITS = ('twice', 'drip', 'stall')
@@ -103,6 +104,10 @@
         mode = rng.choice(DECEITS)
         part = rng.uniform(0.3, 1)
         seconds = rng.uniform(4, 10)
+    elif kind == LIMITED:
+        targets = tuple(rng.sample(engines, len(engines) // 2))
+        mode, part = 'limit', 1.0
+        seconds = rng.uniform(8, 16)
     elif kind in {'engines', 'all engines'}:
         mode = rng.choice(
             ('reset', 'shed', 'errors', 'hang', 'lose', 'slow', 'cut')
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -20,6 +20,10 @@
 COLD_PER_SECOND = 8.9
 COLD_BOUND = COLD_PER_SECOND * 1.5 + 5
 COLD_SECONDS = 3.0
+NAMED_LIMIT = 1.5
+"""Requests a second that a limited engine takes from all routers."""
+LIMIT_WINDOW = 4.0
+LIMIT_BOUND = 1.5 * NAMED_LIMIT * LIMIT_WINDOW + 5
 BEAT_SECONDS = 0.8
 FIRST_PORT, LAST_PORT, BLOCK = 12_000, 32_000, 1000
 """Below the ports that the kernel gives to outgoing connections."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,10 +9,16 @@
 from soak.callers import Try
 from soak.checks import judge, lost
 from soak.conduct import SoakPlan, soak
-from soak.faults import DECEIT, PLANNED, draw
+from soak.faults import DECEIT, LIMITED, PLANNED, draw
 from soak.faults import KINDS as FAULTS
 from soak.regressions import STORM
-from soak.site import COLD_BOUND, KINDS, lay_out
+from soak.site import (
+    COLD_BOUND,
+    CONTACT_SECONDS,
+    KINDS,
+    LIMIT_BOUND,
+    lay_out,
+)
 
 BY_NAME = {kind.name: kind for kind in KINDS}
 SLACK = 5.0
@@ -24,8 +30,9 @@
         SoakPlan(2, 25, 9, 4, 40, 1.5, STORM),
         SoakPlan(6, 20, 3, 3, 30, 3, tuple(sorted(PLANNED))),
         SoakPlan(1, 20, 3, 4, 30, 1, (DECEIT,)),
+        SoakPlan(1, 25, 9, 4, 60, 3, (LIMITED, 'store', 'freeze store')),
     ],
-    ids=['storm', 'planned', 'lying engines'],
+    ids=['storm', 'planned', 'lying engines', 'limited engines'],
 )
 def test_a_short_soak_keeps_every_promise(plan: SoakPlan) -> None:
     found = asyncio.run(soak(plan))
@@ -56,7 +63,7 @@
 
 def seen(what: str, one: Try, at: float, **facts: Any) -> dict[str, Any]:
     row = {'t': at, 'e': what, 'id': one.request_id, 'name': 'engine-1-7'}
-    return {**row, 'left': 900, 'cold': False, **facts}
+    return {**row, 'left': 900, 'cold': False, 'limited': False, **facts}
 
 
 def broken(tries: list[Try], rows: list[dict[str, Any]]) -> set[str]:
@@ -110,6 +117,16 @@
     assert broken(tries, rows[1:]) == set()
 
 
+def test_more_than_the_limit_that_an_engine_names_is_found() -> None:
+    count = int(LIMIT_BOUND) + 1
+    tries = [tried('look', n, n / count) for n in range(count + 1)]
+    first, *later = (seen('arrive', one, 0, limited=True) for one in tries)
+    for number, row in enumerate(later):
+        row['t'] = CONTACT_SECONDS + number / count
+    assert broken(tries, [first, *later]) == {'over_named_limit'}
+    assert broken(tries, [first, *later[1:]]) == set()
+
+
 def test_attempts_and_deadlines_beyond_what_is_allowed_are_found() -> None:
     tries = [tried('look', number, number) for number in range(30)]
     rows = [seen('arrive', one, one.sent_at) for one in tries]
