Record a stream that is taken up under its own id if its caller names none

Read again: a request with Last-Event-Id but without Resumes was recorded under an empty id. The next such request, for any stream, would have gone on at the version of that one, joined from two versions. Requests that name the stream, or begin one, are recorded as before.

The new test failed before. Formatter, linters and mypy pass.

--- a/src/sesamespoke/serving/intake.py
+++ b/src/sesamespoke/serving/intake.py
@@ -7,7 +7,7 @@
 from sesamespoke.answers import HeaderRows
 from sesamespoke.intake import Call, refuse
 from sesamespoke.serving.catalog import Catalog, Tenancy, choose_service
-from sesamespoke.serving.job import Job, Prompt
+from sesamespoke.serving.job import Job, Prompt, find_stream_id
 from sesamespoke.verdicts import (
     NOT_READY,
     UNKNOWN_KEY,
@@ -62,7 +62,12 @@
     return Job(
         head.request_id,
         tenancy.account,
-        choose_service(route, _first_id_of(head)),
+        choose_service(
+            route,
+            find_stream_id(
+                head.request_id, head.last_event_id, head.resumed_id
+            ),
+        ),
         route,
         call.method,
         call.target,
@@ -78,12 +83,6 @@
     )
 
 
-def _first_id_of(head: RequestHead) -> str:
-    """Return the id of the request that began the stream, if one is resumed."""
-    is_resumed = bool(head.last_event_id and head.resumed_id)
-    return head.resumed_id if is_resumed else head.request_id
-
-
 def refuse_for_now(
     retry_after: float = NOT_READY_RETRY_SECONDS,
 ) -> Refusal:
--- a/src/sesamespoke/serving/job.py
+++ b/src/sesamespoke/serving/job.py
@@ -39,6 +39,11 @@
         return shared[-1].name if shared else ''
 
 
+def find_stream_id(request_id: str, last_event_id: str, resumed_id: str) -> str:
+    """Return the id of the request that began the stream of a request."""
+    return resumed_id if last_event_id and resumed_id else request_id
+
+
 @dataclass(frozen=True, slots=True)
 class Job:
     """A validated request; ``deadline`` is a time of the event loop's clock.
@@ -64,3 +69,10 @@
     prompt: Prompt = Prompt()
     last_event_id: str = ''
     resumed_id: str = ''
+
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the request that began this one's stream."""
+        return find_stream_id(
+            self.request_id, self.last_event_id, self.resumed_id
+        )
--- a/src/sesamespoke/serving/stream_versions.py
+++ b/src/sesamespoke/serving/stream_versions.py
@@ -63,8 +63,7 @@
 
     def note_begun(self, job: Job, version: str) -> None:
         """Record that a stream's first event has come from a version."""
-        stream_id = job.resumed_id if job.last_event_id else job.request_id
-        self._journal.note_begun(stream_id, job.service, version)
+        self._journal.note_begun(job.stream_id, job.service, version)
 
     async def find(self, job: Job) -> str | Refusal:
         """Return the version of a stream that a caller takes up."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -282,3 +282,13 @@
         router.kill()
 
     run_with_store(steps)
+
+
+def test_take_up_that_names_no_stream_tells_nothing_of_another() -> None:
+    async def steps(store: StoreStandIn) -> None:
+        router = await start(store, 'v1', 'v2')
+        router.versions.note_begun(taken_up(''), 'v2')
+        assert await router.find('') is None
+        router.kill()
+
+    run_with_store(steps)
