Derive an account's share from what endpoints do, not from their stated capacity

Cause: the share was bounded by the stated capacity. Engines with cached prefixes do several times as much, so that all accounts under load stood above 1.9 times their share and had the lowest utilisation limit alike; with engines down it was too high, and all had the highest. Who reached more routers then got more.

The estimated capacity is 1.1 times the recent usage over all routers. Demand beyond it means that requests wait or are refused. The stated capacity isn't read any more.

--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -24,13 +24,10 @@
 FAIR_SHARE_TTL_SECONDS = 0.1
 """Lifetime of a computed share; reports arrive about as often."""
 HEADROOM_FACTOR = 1.1
-"""Estimated capacity, as a multiple of recent usage. Engines that restart or
-slow down do less than their stated capacity."""
-MIN_CAPACITY_FRACTION = 0.6
-"""Lower bound of the estimated capacity, as a fraction of the stated one."""
-PEAK_DECAY_SECONDS = 30.0
-"""Time constant with which the peak usage decays (to 1/e). The peak is the
-estimated capacity where none is stated."""
+"""Estimated capacity, as a multiple of recent usage. Capacity is what the
+endpoints do, not what is stated: cached prefixes let them do several times
+more, and some may be down. Demand beyond the estimate means that requests
+wait or are refused."""
 UTILISATION_LIMIT_AT_SHARE = 0.75
 """Utilisation limit of an account whose usage equals its share. The limit is
 inversely proportional to the usage, and at most 1."""
@@ -114,23 +111,13 @@
 
 
 class FairShares:
-    """Recent demand and usage of every account, over all routers.
+    """Recent demand and usage of every account, over all routers."""
 
-    ``capacity`` returns the stated capacity of the endpoints in tokens per
-    second, or 0 if it is unknown.
-    """
-
-    def __init__(
-        self,
-        clock: Callable[[], float],
-        capacity: Callable[[], float] = float,
-    ) -> None:
+    def __init__(self, clock: Callable[[], float]) -> None:
         """Create without any demand or usage."""
         self._clock = clock
-        self._capacity = capacity
         self._demand = _DecayingAmounts(clock)
         self._usage = _DecayingAmounts(clock)
-        self._peak: tuple[float, float] = (0, 0)
         self._share: float = math.inf
         self._share_expires_at: float = 0
 
@@ -204,23 +191,12 @@
         now = self._clock()
         if now >= self._share_expires_at:
             self._share_expires_at = now + FAIR_SHARE_TTL_SECONDS
+            usage = sum(self._usage.amounts().values())
             self._share = find_level(
-                self._demand.amounts().values(), self._estimate_capacity()
+                self._demand.amounts().values(), usage * HEADROOM_FACTOR
             )
         return self._share
 
-    def _estimate_capacity(self) -> float:
-        """Return the estimated capacity, in units of the decayed amounts."""
-        recent = sum(self._usage.amounts().values()) * HEADROOM_FACTOR
-        stated = self._capacity() * USAGE_DECAY_SECONDS
-        if stated:
-            return min(stated, max(stated * MIN_CAPACITY_FRACTION, recent))
-        now = self._clock()
-        peak, at = self._peak
-        peak = max(recent, peak * math.exp((at - now) / PEAK_DECAY_SECONDS))
-        self._peak = (peak, now)
-        return peak
-
 
 def _subtract(amounts: Amounts, local: Callable[[str], float]) -> Amounts:
     """Return the amounts minus the local part of each, at least 0."""
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -89,7 +89,7 @@
             self.fleet_size.known_hosts,
             cfg.data_centre,
         )
-        self._shares = FairShares(self._clock, self._token_rate)
+        self._shares = FairShares(self._clock)
         self._admission_queues: dict[str, AdmissionQueue[Reservation]] = {}
         self._loads = LoadExchange(
             self.peers,
@@ -215,11 +215,6 @@
             log.info,
         )
 
-    def _token_rate(self) -> float:
-        """Return the configured capacity of all engines in tokens/s."""
-        catalog = self.platform_sync.operator_config.catalog
-        return catalog.token_rate if catalog else 0
-
     def _retry_budget(self, service: str) -> WindowedRetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
