Let the limit's test serve all demand before limits end

The share follows from usage now, so that silence alone changes no ratio; limits end once demand is met. An endpoint below the lowest limit serves every account meanwhile, as before.

--- a/tests/test_serving_admission.py
+++ b/tests/test_serving_admission.py
@@ -321,6 +321,9 @@
     assert MIN_UTILISATION_LIMIT < limits[1] < 1
     assert limits[2:] == [1, 1]
     clock.now += 4 * USAGE_DECAY_SECONDS
+    for name in ('far', 'near', 'poor', 'small'):
+        shares.add_demand(name, 100_000)
+        shares.add_usage(name, 100_000)
     assert shares.utilisation_limit('far') == 1
 
 
