Keep the limits of accounts that get an even part as they were

The share from the stated capacity is back; beside it, an account that gets less than its part of what is done now may go further, and one that gets more than that less far.

Where the stated capacity is less than the real one, hot accounts are held to the lowest limit as before, so that the bound on use there is that limit.

--- a/src/sesamespoke/platform/operator_config.py
+++ b/src/sesamespoke/platform/operator_config.py
@@ -63,6 +63,7 @@
         {service.name: service for service in services},
         _read_api_keys(fields),
         _read_limits(limits),
+        read_number(limits, 'tokens_per_s'),
     )
 
 
--- a/src/sesamespoke/serving/catalog.py
+++ b/src/sesamespoke/serving/catalog.py
@@ -108,7 +108,9 @@
     """One version of the operators' configuration.
 
     ``routes`` are listed by host, longest prefix first; ``keys`` maps API
-    keys to accounts. ``source`` is the configuration as operators wrote it.
+    keys to accounts. ``token_rate`` is the combined capacity of all model
+    engines in tokens per second, with a generated token counted twice; 0 if
+    not configured. ``source`` is the configuration as operators wrote it.
     """
 
     version: int
@@ -116,6 +118,7 @@
     services: Mapping[str, RoutedService]
     keys: Mapping[str, Tenancy] = field(default_factory=_no_accounts)
     limits: CallerLimits = CallerLimits()
+    token_rate: float = 0
     source: bytes = field(default=b'', compare=False, repr=False)
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -24,15 +24,24 @@
 FAIR_SHARE_TTL_SECONDS = 0.1
 """Lifetime of a computed share; reports arrive about as often."""
 HEADROOM_FACTOR = 1.1
-"""Estimated capacity, as a multiple of recent usage. Capacity is what the
-endpoints do, not what is stated: cached prefixes let them do several times
-more, and some may be down. Demand beyond the estimate means that requests
-wait or are refused."""
+"""Estimated capacity, as a multiple of recent usage. Engines that restart or
+slow down do less than their stated capacity."""
+MIN_CAPACITY_FRACTION = 0.6
+"""Lower bound of the estimated capacity, as a fraction of the stated one."""
+PEAK_DECAY_SECONDS = 30.0
+"""Time constant with which the peak usage decays (to 1/e). The peak is the
+estimated capacity where none is stated."""
 UTILISATION_LIMIT_AT_SHARE = 0.75
 """Utilisation limit of an account whose usage equals its share. The limit is
 inversely proportional to the usage, and at most 1."""
 MIN_UTILISATION_LIMIT = 0.4
 """Utilisation limit that applies to every account at least."""
+EVEN_USAGE_FACTOR = 0.9
+"""Usage of an account that gets its part of what is done now, as a multiple
+of its share of the usage with ``HEADROOM_FACTOR``."""
+MAX_BALANCE = 2.5
+"""Largest factor on the limit of an account that gets less than its part. It
+raises the lowest limit to all of an endpoint."""
 MIN_REPORTED_TOKENS = 1.0
 """Amounts that have decayed to less are not reported to other data centres."""
 
@@ -111,14 +120,25 @@
 
 
 class FairShares:
-    """Recent demand and usage of every account, over all routers."""
+    """Recent demand and usage of every account, over all routers.
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    ``capacity`` returns the stated capacity of the endpoints in tokens per
+    second, or 0 if it is unknown.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        capacity: Callable[[], float] = float,
+    ) -> None:
         """Create without any demand or usage."""
         self._clock = clock
+        self._capacity = capacity
         self._demand = _DecayingAmounts(clock)
         self._usage = _DecayingAmounts(clock)
+        self._peak: tuple[float, float] = (0, 0)
         self._share: float = math.inf
+        self._even_share: float = math.inf
         self._share_expires_at: float = 0
 
     def used(self, account: str) -> float:
@@ -170,7 +190,24 @@
         self._usage.replace(data_centre, at, usage)
 
     def utilisation_limit(self, account: str) -> float:
-        """Return the utilisation of endpoints up to which an account may go."""
+        """Return the utilisation of endpoints up to which an account may go.
+
+        The limit follows from the stated capacity. Engines do more or less
+        than that, so that accounts far apart may have the same limit; among
+        them, the one that gets less of what is done now may go further.
+        """
+        limit = self._capacity_limit(account)
+        even = self._even_share * EVEN_USAGE_FACTOR
+        if math.isinf(max(even, self._share)) or not even:
+            return limit
+        balance = even / max(1, self.used(account))
+        if balance < 1:
+            return min(limit, max(MIN_UTILISATION_LIMIT, balance))
+        raised = limit * min(MAX_BALANCE, balance * balance)
+        return min(1, raised)
+
+    def _capacity_limit(self, account: str) -> float:
+        """Return the limit of an account whose share is of the capacity."""
         share = self._current_share()
         if math.isinf(share):
             return 1
@@ -191,12 +228,24 @@
         now = self._clock()
         if now >= self._share_expires_at:
             self._share_expires_at = now + FAIR_SHARE_TTL_SECONDS
-            usage = sum(self._usage.amounts().values())
-            self._share = find_level(
-                self._demand.amounts().values(), usage * HEADROOM_FACTOR
-            )
+            demands = tuple(self._demand.amounts().values())
+            done = sum(self._usage.amounts().values()) * HEADROOM_FACTOR
+            self._share = find_level(demands, self._estimate_capacity())
+            self._even_share = find_level(demands, done)
         return self._share
 
+    def _estimate_capacity(self) -> float:
+        """Return the estimated capacity, in units of the decayed amounts."""
+        recent = sum(self._usage.amounts().values()) * HEADROOM_FACTOR
+        stated = self._capacity() * USAGE_DECAY_SECONDS
+        if stated:
+            return min(stated, max(stated * MIN_CAPACITY_FRACTION, recent))
+        now = self._clock()
+        peak, at = self._peak
+        peak = max(recent, peak * math.exp((at - now) / PEAK_DECAY_SECONDS))
+        self._peak = (peak, now)
+        return peak
+
 
 def _subtract(amounts: Amounts, local: Callable[[str], float]) -> Amounts:
     """Return the amounts minus the local part of each, at least 0."""
--- a/src/sesamespoke/serving/load_exchange.py
+++ b/src/sesamespoke/serving/load_exchange.py
@@ -19,9 +19,13 @@
         loads: LoadTracker,
         clock: Callable[[], float],
         log: Log,
+        capacity: Callable[[], float],
     ) -> None:
-        """Subscribe to reports; none are sent before ``start_tasks``."""
-        shares = FairShares(clock)
+        """Subscribe to reports; none are sent before ``start_tasks``.
+
+        ``capacity`` returns that of all engines, in tokens per second.
+        """
+        shares = FairShares(clock, capacity)
         self.shares = shares
         self._routers = PeerLoads(links, loads, shares)
         self._data_centres = DataCentreReports(
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -95,6 +95,7 @@
             self.chooser.loads,
             self._clock,
             log.info,
+            self._token_rate,
         )
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self.pool = ConnectionPool(POOL_SETTINGS)
@@ -228,6 +229,11 @@
             log.info,
         )
 
+    def _token_rate(self) -> float:
+        """Return the configured capacity of all engines in tokens/s."""
+        catalog = self.platform_sync.operator_config.catalog
+        return catalog.token_rate if catalog else 0
+
     def _retry_budget(self, service: str) -> WindowedRetryBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -77,6 +77,7 @@
     if isinstance(catalog, str):
         return
     assert isinstance(catalog, Catalog)
+    assert 0 <= catalog.token_rate < math.inf
     assert catalog.limits.body_bytes > 0
     assert all(isinstance(key, str) and key for key in catalog.keys)
     for path in ('/s/1', '/l/1', '/l/book/1', '/'):
