Ask a store that turns a host away ever more rarely, up to once a second

Cause: the watch and the registration of each host tried again every 0.25 and 0.3 s for as long as the store refused them; all calls cost the store, refused ones too.

--- a/src/sesamespoke/platform/kv_store.py
+++ b/src/sesamespoke/platform/kv_store.py
@@ -22,6 +22,7 @@
 
 from sesamespoke.checked_fields import is_count
 from sesamespoke.ip_resolver import IpResolver
+from sesamespoke.retry_delay import RetryDelay
 from sesamespoke.serving.store_era import StoreEra
 from sesamespoke.settings import Address
 from sesamespoke.store import (
@@ -42,7 +43,8 @@
 RESPONSE_TIMEOUT_SECONDS = 1.0
 """A response takes some milliseconds, and more when the platform is slow."""
 RETRY_DELAY_SECONDS = 0.25
-"""The delay before a watch calls the store again after a failed call."""
+MAX_RETRY_DELAY_SECONDS = 1.0
+"""The delays before a watch calls the store again after failed calls."""
 MAX_PARALLEL_CALLS = 10
 MAX_RESPONSE_BYTES = 8_388_608
 """A page of a range holds about 1 MB, and a value at most as much."""
@@ -155,12 +157,14 @@
         ``known_keys`` that were deleted meanwhile are yielded as ``Absent``.
         The set is kept up to date for the same reader's next watch.
         """
+        delay = RetryDelay(RETRY_DELAY_SECONDS, MAX_RETRY_DELAY_SECONDS)
         while True:
             listed = await self.scan_with_revision(prefix)
             if isinstance(listed, StoreUnavailable):
                 yield listed
-                await asyncio.sleep(RETRY_DELAY_SECONDS)
+                await asyncio.sleep(delay.grow())
                 continue
+            delay.reset()
             entries, revision = listed
             era = self.era.number
             for key in known_keys - {entry.key for entry in entries}:
--- a/src/sesamespoke/serving/host_registration.py
+++ b/src/sesamespoke/serving/host_registration.py
@@ -4,6 +4,7 @@
 import json
 from contextlib import suppress
 
+from sesamespoke.retry_delay import RetryDelay
 from sesamespoke.serving.platform_interface import PlatformStore
 from sesamespoke.serving.serving_dependencies import Log
 from sesamespoke.serving.settings import ServingSettings
@@ -11,7 +12,8 @@
 
 HOST_PREFIX = 'sesamespoke/hosts/'
 RETRY_SECONDS = 0.3
-"""Delay before a failed store call is retried."""
+MAX_RETRY_SECONDS = 1.0
+"""Delays before failed store calls are retried."""
 RENEWALS_PER_LEASE = 3
 
 
@@ -31,12 +33,14 @@
 
     async def run(self) -> None:
         """Keep the entry registered until cancelled."""
+        delay = RetryDelay(RETRY_SECONDS, MAX_RETRY_SECONDS)
         while True:
             self._is_due.clear()
             if await self._renew():
+                delay.reset()
                 await self._wait_for_renewal()
             else:
-                await asyncio.sleep(RETRY_SECONDS)
+                await asyncio.sleep(delay.grow())
 
     def _write_again(self) -> None:
         """Forget the lease: its number may be another host's by now."""
