--- a/src/sesamespoke/platform/operator_config.py
+++ b/src/sesamespoke/platform/operator_config.py
@@ -30,6 +30,8 @@
 DEFAULT_TIMEOUT_MS = 30_000
 """The timeout of a route that sets none."""
 DEFAULT_OBJECTIVE_MS = 1000
+MIN_TIMEOUT_MS = 1
+"""A shorter time can't be kept, and the smallest numbers are 0 in seconds."""
 MAX_TIMEOUT_MS = 86_400_000
 """One day; a longer timeout would be no limit in practice."""
 
@@ -92,8 +94,8 @@
         read_text(row, 'prefix'),
         KINDS.get(row['kind'], CallKind.ONCE),
         _read_weighted_services(row),
-        min(timeout_ms, MAX_TIMEOUT_MS) / MS_PER_SECOND,
-        min(objective_ms, MAX_TIMEOUT_MS) / MS_PER_SECOND,
+        _bounded_seconds(timeout_ms),
+        _bounded_seconds(objective_ms),
         max(1, read_count(row, 'max_attempts', 1)),
         read_count(row, 'priority'),
         public=read_flag(row, 'public'),
@@ -102,6 +104,10 @@
     )
 
 
+def _bounded_seconds(number_ms: float) -> float:
+    return min(MAX_TIMEOUT_MS, max(MIN_TIMEOUT_MS, number_ms)) / MS_PER_SECOND
+
+
 def _read_weighted_services(row: Fields) -> tuple[WeightedService, ...]:
     split = row.get('traffic_split')
     if not split:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -93,6 +93,18 @@
         assert 0 <= service.cold_rate < math.inf
 
 
+@pytest.mark.parametrize('name', ['timeout_ms', 'target_latency_ms'])
+def test_smallest_number_of_a_route_is_no_time_of_zero(name: str) -> None:
+    """The number divided by 1,000 was 0, with which no request is served."""
+    config = copy.deepcopy(CONFIG)
+    config['routes'][0][name] = math.ulp(0)
+    catalog = read_catalog(json.dumps(config).encode())
+    assert isinstance(catalog, Catalog)
+    route = catalog.find_route('a.example:80', '/s/1')
+    assert route is not None
+    assert min(route.timeout, route.objective) > 0
+
+
 @given(st.randoms(use_true_random=False), ANYTHING)
 @settings(max_examples=400, deadline=None)
 def test_any_entry_of_an_engine_is_left_out_or_can_be_used(
