Let versions that come after a rollout get requests, and a stopped host decide nothing

Found while reading the change again: a completed rollout left out every version but its own, also those released later; a host that had stood still could decide on outdated answers. The first has a test that failed before.

--- a/src/sesamespoke/serving/rollout_decider.py
+++ b/src/sesamespoke/serving/rollout_decider.py
@@ -86,9 +86,14 @@
         feeds.store.era.listeners.append(self._read_again)
 
     async def run(self) -> None:
-        """Decide on each rollout several times a second, until cancelled."""
+        """Decide on each rollout several times a second, until cancelled.
+
+        A host that stood still has answers that are outdated.
+        """
         while True:
             await next_tick(STEP_SECONDS)
+            if self._links.view.stale:
+                continue
             for service, rollout in tuple(self._rollouts.by_service.items()):
                 deciders = self._rollouts.deciders(service)
                 if deciders[:1] == [self._links.host]:
--- a/src/sesamespoke/serving/version_rollouts.py
+++ b/src/sesamespoke/serving/version_rollouts.py
@@ -151,7 +151,7 @@
         if rollout.stage.is_withdrawn:
             return (new,)
         if rollout.stage is Stage.COMPLETED:
-            return (old,)
+            return (self._replaced(rollout),)
         if begun_at is not None or not self._is_any_usable(job.service, new):
             return (frozenset(),)
         share = self._share(rollout)
@@ -218,6 +218,22 @@
                 for host in self.deciders(service):
                     self._links.send(host, message)
 
+    def _replaced(self, rollout: Rollout) -> frozenset[str]:
+        """Return the endpoints that a completed rollout has replaced.
+
+        Versions that came later stand beside the new one, or replace it.
+        """
+        new, old = self._split(rollout)
+        if not any(self._usable(rollout.order.service, new)):
+            return frozenset()
+        service, completed_at = rollout.order.service, rollout.heard_at
+        later = (
+            names
+            for key, names in self._names.items()
+            if key[0] == service and self._first_listed[key] > completed_at
+        )
+        return old.difference(*later)
+
     def _share(self, rollout: Rollout) -> float:
         if self._clock() - rollout.heard_at > NEWS_SECONDS:
             return 0
--- a/tests/test_version_rollouts.py
+++ b/tests/test_version_rollouts.py
@@ -19,9 +19,10 @@
 )
 from support_routed import CFG, run_with_fleet, wait_until
 from support_routed import Fleet as SocketFleet
+from support_serving_jobs import job_of
 from test_software_versions import engine_of
 
-from sesamespoke.serving.directory import ListedEndpoint
+from sesamespoke.serving.directory import ListedEndpoint, Listing
 from sesamespoke.serving.rollout_evidence import Evidence, Opinion, judge
 
 ROLLOUT_TIMEOUT_SECONDS = 8
@@ -209,6 +210,25 @@
     play(failing, steps)
 
 
+def test_version_released_after_a_rollout_gets_requests() -> None:
+    """A completed rollout left out all versions but its own for good."""
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.play(DURATION)
+        await check(fleet, 'completed')
+        later = [
+            replace(each, name=f'v3-{number}', version='v3')
+            for number, each in enumerate(fleet.endpoints[-2:])
+        ]
+        router = fleet.routers['r0']
+        router.directory.replace(Listing(2, (*fleet.endpoints, *later)))
+        excluded = router.rollouts.exclusions(job_of('a'), None)[0]
+        names = {each.name for each in fleet.endpoints if each.version == 'v1'}
+        assert excluded == names
+
+    play(good, steps)
+
+
 def test_trouble_of_both_versions_says_nothing_of_the_new_one() -> None:
     evidence = Evidence()
     for number in range(400):
