--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -6,7 +6,9 @@
 much as the first. An account's share is its max-min fair share of what the
 endpoints can do. Accounts near or above their share may use each endpoint only
 up to a lower utilisation; the rest of its capacity is reserved for accounts
-with less usage. Nothing else is restricted: idle endpoints serve every account,
+with less usage. The stated capacity may be far from what is done, so that
+accounts which get very different amounts stand alike; these are balanced by
+what they get. Nothing else is restricted: idle endpoints serve every account,
 however far it is above its share.
 
 Reserving capacity in this way is trunk reservation, as in Key, "Optimal
