Refuse bodies that arrive for seconds while the host runs late

Reading two million chunks of two bytes takes the processor for minutes, the loop runs late by 0.25 s, and the host closes every new connection unread.

Tried and given up: pauses between pieces, which the HTTP library joins before they reach the reader.

--- a/src/sesamespoke/body_memory.py
+++ b/src/sesamespoke/body_memory.py
@@ -8,6 +8,7 @@
 and soon complete, so that they are rarely among them.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -15,6 +16,8 @@
 
 STALLED_SECONDS = 1.0
 """Time without a byte after which a body counts as stalled."""
+SLOW_SECONDS = 2.0
+"""Time after its head from which a body that still arrives counts as slow."""
 LOW_MARK = 0.8
 """Part of the limit down to which bodies are refused: one pass frees room for
 many arrivals."""
@@ -37,10 +40,11 @@
 
 @dataclass(slots=True)
 class _Arrival:
-    """Bytes of a body so far, and when the last ones came."""
+    """Bytes of a body so far, and when its head and the last ones came."""
 
     size: int
     progressed_at: float
+    head_at: float = math.inf
 
 
 class BodyMemory:
@@ -58,12 +62,17 @@
         )
 
     def begin(self, reader: BodyReader) -> None:
-        """Note a connection that waits for a request, or a request's head.
+        """Note a connection that waits for a request.
 
         A reader that is gone without a word is forgotten by itself.
         """
         self._arriving[reader] = _Arrival(0, self._clock())
 
+    def begin_body(self, reader: BodyReader) -> None:
+        """Note that the head of a request has come."""
+        now = self._clock()
+        self._arriving[reader] = _Arrival(0, now, now)
+
     def grow(self, reader: BodyReader, size: int, max_size: int) -> None:
         """Account for the next bytes of a body; may make readers give up.
 
@@ -121,6 +130,21 @@
         self._drop(reader)
         return True
 
+    def drop_slow(self) -> None:
+        """Refuse the bodies that have arrived for long.
+
+        For a host that is out of processor time: reading a body in chunks of
+        a few bytes takes most of it, and ordinary bodies come at once.
+        """
+        since = self._clock() - SLOW_SECONDS
+        slow = [
+            reader
+            for reader, arrival in self._arriving.items()
+            if arrival.head_at < since
+        ]
+        for reader in slow:
+            self._drop(reader)
+
     def _make_room(self, limit: float) -> None:
         """Refuse arriving bodies until the low mark is reached."""
         stalled_since = self._clock() - STALLED_SECONDS
--- a/src/sesamespoke/caller_connections.py
+++ b/src/sesamespoke/caller_connections.py
@@ -197,7 +197,7 @@
     ) -> None:
         """Keep the head; refuse a body that is declared too large."""
         assert isinstance(start_line, RequestStartLine)
-        self._memory.begin(self)
+        self._memory.begin_body(self)
         self._arriving.add(self)
         self._line = start_line
         self._headers = headers
--- a/src/sesamespoke/request_server.py
+++ b/src/sesamespoke/request_server.py
@@ -65,17 +65,22 @@
 
     Others are closed with nothing read: nothing was run, and the caller's
     next try reaches another host. Where a connection has made no progress for
-    a while, that one makes room.
+    a while, that one makes room. A host that runs late also refuses bodies
+    that have arrived for seconds: reading them may be what makes it late.
     """
 
     max_connections = MAX_CONNECTIONS
     is_shedding: Callable[[], bool] = bool
     make_room: Callable[[], bool] = bool
+    drop_slow: Callable[[], object] = bool
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a connection, or close it."""
         is_full = len(self._connections) >= self.max_connections
-        if self.is_shedding() or (is_full and not self.make_room()):
+        is_shedding = self.is_shedding()
+        if is_shedding:
+            self.drop_slow()
+        if is_shedding or (is_full and not self.make_room()):
             stream.close()
             return
         super().handle_stream(stream, address)
@@ -126,6 +131,7 @@
             cfg.body_memory, asyncio.get_running_loop().time
         )
         self._server.make_room = self._memory.drop_stalled
+        self._server.drop_slow = self._memory.drop_slow
         metrics.gauge('request_body_bytes', self._read_body_bytes)
 
     @property
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -8,6 +8,7 @@
 from sesamespoke.body_memory import (
     LOW_MARK,
     MIN_BODIES,
+    SLOW_SECONDS,
     SMALL_BYTES,
     STALLED_SECONDS,
     BodyMemory,
@@ -86,6 +87,23 @@
     assert [reader.gave_up for reader in readers] == [bool(waited), False]
 
 
+def test_only_bodies_that_arrive_for_long_are_refused_by_a_late_host() -> None:
+    clock = Clock()
+    memory = BodyMemory(LIMIT, clock)
+    slow, idle, fresh = Reader(), Reader(), Reader()
+    memory.begin(idle)
+    memory.begin_body(slow)
+    clock.now += SLOW_SECONDS * 1.5
+    memory.grow(slow, 2, MAX_SIZE)
+    memory.begin_body(fresh)
+    memory.drop_slow()
+    assert [reader.gave_up for reader in (slow, idle, fresh)] == [
+        True,
+        False,
+        False,
+    ]
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(['arrive', 'serve', 'release', 'forget', 'wait']),
