--- a/src/sesamespoke/serving/rollout_decider.py
+++ b/src/sesamespoke/serving/rollout_decider.py
@@ -49,7 +49,7 @@
 
 
 @dataclass(slots=True)
-class _Office:
+class _DeciderState:
     """What a decider knows of one rollout.
 
     ``status`` is the one in the store, None until it was read; ``reports``
@@ -81,7 +81,7 @@
         self._loads = loads
         self._clock = clock
         self._bounds = bounds
-        self._offices: dict[tuple[str, int], _Office] = {}
+        self._states: dict[tuple[str, int], _DeciderState] = {}
         links.subscribe(RolloutAnswers, self._hear_answers)
         feeds.store.era.listeners.append(self._read_again)
 
@@ -99,77 +99,77 @@
                 if deciders[:1] == [self._links.host]:
                     await self._step(rollout)
 
-    def _office(self, service: str, order: int) -> _Office:
-        return self._offices.setdefault((service, order), _Office())
+    def _state_of(self, service: str, order: int) -> _DeciderState:
+        return self._states.setdefault((service, order), _DeciderState())
 
     def _hear_answers(self, sender: str, message: RolloutAnswers) -> None:
         rollout = self._rollouts.by_service.get(message.service)
         if rollout is not None and rollout.order.revision == message.order:
-            office = self._office(message.service, message.order)
-            office.reports[sender] = message.rows
+            state = self._state_of(message.service, message.order)
+            state.reports[sender] = message.rows
 
     def _read_again(self) -> None:
         """Read every status again: a copy of the store may lack it."""
-        for office in self._offices.values():
-            office.status = None
+        for state in self._states.values():
+            state.status = None
 
     async def _step(self, rollout: Rollout) -> None:
-        office = self._office(rollout.order.service, rollout.order.revision)
-        if office.status is None and not await self._load(rollout, office):
+        state = self._state_of(rollout.order.service, rollout.order.revision)
+        if state.status is None and not await self._load(rollout, state):
             return
-        step = plan(self._view(rollout, office), self._bounds)
+        step = plan(self._view(rollout, state), self._bounds)
         if step.stage.is_final:
-            await self._conclude(rollout, office, step)
+            await self._conclude(rollout, state, step)
         else:
             self._rollouts.adopt(rollout, step.stage, step.share)
-            await self._record(rollout, office)
+            await self._record(rollout, state)
         self._links.broadcast(self._rollouts.message(rollout))
 
     async def _conclude(
-        self, rollout: Rollout, office: _Office, step: Step
+        self, rollout: Rollout, state: _DeciderState, step: Step
     ) -> None:
         """Write a verdict; it is in force once the store has it.
 
         A version that is rolled back gets nothing from now on.
         """
-        status = office.status
+        status = state.status
         if status is None or status.completed or status.rolled_back:
             return
         if step.stage is Stage.ROLLED_BACK and not rollout.stage.is_withdrawn:
             self._rollouts.adopt(rollout, Stage.HALTED, 0)
             self._links.broadcast(self._rollouts.message(rollout))
-        if await self._write(rollout, office, step.stage):
+        if await self._write(rollout, state, step.stage):
             self._rollouts.adopt(rollout, step.stage, step.share)
 
-    async def _record(self, rollout: Rollout, office: _Office) -> None:
+    async def _record(self, rollout: Rollout, state: _DeciderState) -> None:
         """Keep the rollout's age and stage in the store, and its status."""
         now = self._clock()
-        if office.status is None or now - office.recorded_at < RECORD_SECONDS:
+        if state.status is None or now - state.recorded_at < RECORD_SECONDS:
             return
-        office.recorded_at = now
-        if office.status.revision < rollout.order.revision:
-            await self._write(rollout, office, rollout.stage)
+        state.recorded_at = now
+        if state.status.revision < rollout.order.revision:
+            await self._write(rollout, state, rollout.stage)
         else:
             await self._feeds.store.transact((), (self._encode(rollout),))
 
     async def _write(
-        self, rollout: Rollout, office: _Office, stage: Stage
+        self, rollout: Rollout, state: _DeciderState, stage: Stage
     ) -> bool:
         """Write the status; return whether it stands in the store now."""
-        service, before = rollout.order.service, office.status
+        service, before = rollout.order.service, state.status
         status = RolloutStatus(
             rollout.order.version,
             stage is Stage.COMPLETED,
             stage is Stage.ROLLED_BACK,
             before.revision if before else 0,
         )
-        office.status = None
+        state.status = None
         written = await self._feeds.write_rollout_status(
             service, status, self._encode(rollout)
         )
         if not isinstance(written, Committed):
             return False
-        office.status = RolloutStatus(
+        state.status = RolloutStatus(
             status.version,
             status.completed,
             status.rolled_back,
@@ -177,7 +177,7 @@
         )
         return True
 
-    async def _load(self, rollout: Rollout, office: _Office) -> bool:
+    async def _load(self, rollout: Rollout, state: _DeciderState) -> bool:
         """Read what the store holds of a rollout; return whether it answered.
 
         A status that is missing from a copy of the store is written again.
@@ -197,10 +197,10 @@
         if is_of_this and (status.completed or status.rolled_back):
             stage = Stage.COMPLETED if status.completed else Stage.ROLLED_BACK
             self._rollouts.adopt(rollout, stage, float(status.completed))
-        office.status = status
+        state.status = status
         if rollout.stage.is_final and not is_of_this:
-            await self._write(rollout, office, rollout.stage)
-        return office.status is not None
+            await self._write(rollout, state, rollout.stage)
+        return state.status is not None
 
     def _adopt_record(self, rollout: Rollout, content: bytes) -> None:
         try:
@@ -226,10 +226,10 @@
         key = RECORD_PREFIX + rollout.order.service
         return Put(key, json.dumps(content).encode())
 
-    def _view(self, rollout: Rollout, office: _Office) -> RolloutView:
+    def _view(self, rollout: Rollout, state: _DeciderState) -> RolloutView:
         now = self._clock()
         answers = Evidence()
-        for rows in office.reports.values():
+        for rows in state.reports.values():
             answers.add(rows)
         age = now - rollout.ordered_at
         old = self._rollouts.old_endpoints(rollout)
@@ -239,17 +239,17 @@
             rollout.stage,
             rollout.growing_since - rollout.ordered_at,
             answers.answers / max(1, age),
-            self._judge(office, answers),
+            self._judge(state, answers),
             any(self._loads.total(name).running for name in old),
         )
 
-    def _judge(self, office: _Office, answers: Evidence) -> Opinion:
+    def _judge(self, state: _DeciderState, answers: Evidence) -> Opinion:
         """Return the opinion on all answers, unless the last ones are bad."""
         now = self._clock()
-        office.history.append((now, answers))
-        while office.history[0][0] < now - WINDOW_SECONDS:
-            office.history.popleft()
-        recent = answers.since(office.history[0][1])
+        state.history.append((now, answers))
+        while state.history[0][0] < now - WINDOW_SECONDS:
+            state.history.popleft()
+        recent = answers.since(state.history[0][1])
         if judge(recent) is Opinion.BAD:
             return Opinion.BAD
         return judge(answers)
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -28,7 +28,7 @@
 FILE_DESCRIPTORS = 160
 MAX_BODY_BYTES = 4_194_304
 HELD_BACK_BYTES = 16
-"""What the last bytes of each body that doesn't end are."""
+"""Bytes by which a body that doesn't end stops short."""
 PIECE_BYTES = 65_536
 BODIES = 60
 """Clients of a crowd that holds memory: 240 MB in all."""
