Ask the directory for usable endpoints, give a status its stage, and stop judging after a verdict

Cause, found while reading the change again: the check for a usable endpoint stood in stream versions and once more in rollouts; a status held two flags in place of its stage; a decider summed and judged all answers four times a second for good after the verdict. A guard of the verdict also read the status of an earlier order as this one's, so that a version that was bad at its decider's first step would have been halted, but not written as rolled back until the record replaced that status; no test causes this.

Change: Directory.has_usable serves both; RolloutStatus has a Stage; what a finished rollout tells goes on, its judgement doesn't; the guard is gone. No bound changed.

--- a/src/sesamespoke/body_memory.py
+++ b/src/sesamespoke/body_memory.py
@@ -84,7 +84,7 @@
         arrival.size += size
         arrival.progressed_at = self._clock()
         self.held += size
-        limit = max(self.limit, MIN_BODIES * max_size)
+        limit = self._limit_for(max_size)
         if self.held > limit:
             self._make_room(limit)
 
@@ -96,7 +96,7 @@
         """
         arrival = self._arriving.pop(reader, None)
         size = arrival.size if arrival else 0
-        limit = max(self.limit, MIN_BODIES * max_size) * SERVED_PART
+        limit = self._limit_for(max_size) * SERVED_PART
         if size > SMALL_BYTES and self._served + size > limit:
             self.held -= size
             self.refused += 1
@@ -145,6 +145,9 @@
         for reader in slow:
             self._drop(reader)
 
+    def _limit_for(self, max_size: int) -> float:
+        return max(self.limit, MIN_BODIES * max_size)
+
     def _make_room(self, limit: float) -> None:
         """Refuse arriving bodies until the low mark is reached."""
         stalled_since = self._clock() - STALLED_SECONDS
--- a/src/sesamespoke/platform/feeds.py
+++ b/src/sesamespoke/platform/feeds.py
@@ -29,6 +29,7 @@
     RolloutStatus,
     RolloutWithdrawn,
 )
+from sesamespoke.serving.rollout_plan import Stage
 from sesamespoke.store import (
     Absent,
     Committed,
@@ -47,14 +48,14 @@
 SERVER_PREFIX = 'servers/'
 MS_PER_SECOND = 1000
 
-STATUS_NAMES = MappingProxyType(
-    {
-        (False, False): 'running',
-        (True, False): 'completed',
-        (False, True): 'rolled_back',
-    }
+RUNNING = 'running'
+VERDICTS = MappingProxyType(
+    {'completed': Stage.COMPLETED, 'rolled_back': Stage.ROLLED_BACK}
+)
+"""Maps the state in a status to the final stage of its rollout."""
+VERDICT_NAMES = MappingProxyType(
+    {stage: name for name, stage in VERDICTS.items()}
 )
-"""Names of a status, by whether it is completed and rolled back."""
 LEAVING = MappingProxyType({'ready': False, 'draining': True})
 """Maps the state in an engine's entry to whether the engine is leaving."""
 
@@ -132,7 +133,7 @@
             {
                 'service': service,
                 'to': status.version,
-                'state': STATUS_NAMES[status.completed, status.rolled_back],
+                'state': VERDICT_NAMES.get(status.stage, RUNNING),
             }
         )
         return await self.store.transact(
@@ -216,15 +217,10 @@
 def _read_status(entry: Entry) -> RolloutStatus:
     try:
         fields = json.loads(entry.content)
-        state, version = fields['state'], read_text(fields, 'to')
+        stage = VERDICTS.get(fields['state'], Stage.CANARY)
+        return RolloutStatus(read_text(fields, 'to'), stage, entry.revision)
     except MALFORMED:
-        state, version = '', ''
-    return RolloutStatus(
-        version,
-        state == STATUS_NAMES[True, False],
-        state == STATUS_NAMES[False, True],
-        entry.revision,
-    )
+        return RolloutStatus(revision=entry.revision)
 
 
 def _read_rollout(change: Entry | Absent, era: int) -> OperatorUpdate:
--- a/src/sesamespoke/serving/directory.py
+++ b/src/sesamespoke/serving/directory.py
@@ -215,6 +215,10 @@
             self._usable_by_service[service] = cached
         return cached
 
+    def has_usable(self, service: str, excluded: frozenset[str]) -> bool:
+        """Return whether an endpoint that isn't excluded may be given work."""
+        return any(each.name not in excluded for each in self.usable(service))
+
     def is_usable(self, endpoint: ListedEndpoint) -> bool:
         """Return whether this incarnation may be given work."""
         known = self.endpoints.get(endpoint.name)
--- a/src/sesamespoke/serving/platform_interface.py
+++ b/src/sesamespoke/serving/platform_interface.py
@@ -6,6 +6,7 @@
 
 from sesamespoke.serving.catalog import Catalog
 from sesamespoke.serving.directory import Listing
+from sesamespoke.serving.rollout_plan import Stage
 from sesamespoke.serving.store_era import StoreEra
 from sesamespoke.store import (
     UNKNOWN_ERA,
@@ -65,13 +66,12 @@
 class RolloutStatus:
     """What operators read of a rollout; ``revision`` is the store's.
 
-    A running rollout is neither completed nor rolled back. The status of an
-    earlier order has a lower revision than the order.
+    A rollout whose stage isn't final is running. The status of an earlier
+    order has a lower revision than the order.
     """
 
-    version: str
-    completed: bool = False
-    rolled_back: bool = False
+    version: str = ''
+    stage: Stage = Stage.CANARY
     revision: int = 0
 
 
--- a/src/sesamespoke/serving/rollout_decider.py
+++ b/src/sesamespoke/serving/rollout_decider.py
@@ -11,7 +11,7 @@
 import json
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from sesamespoke.checked_fields import MALFORMED
 from sesamespoke.routing_messages import RolloutAnswers
@@ -117,13 +117,17 @@
         state = self._state_of(rollout.order.service, rollout.order.revision)
         if state.status is None and not await self._load(rollout, state):
             return
+        if not rollout.stage.is_final:
+            await self._advance(rollout, state)
+        self._links.broadcast(self._rollouts.message(rollout))
+
+    async def _advance(self, rollout: Rollout, state: _DeciderState) -> None:
         step = plan(self._view(rollout, state), self._bounds)
         if step.stage.is_final:
             await self._conclude(rollout, state, step)
         else:
             self._rollouts.adopt(rollout, step.stage, step.share)
             await self._record(rollout, state)
-        self._links.broadcast(self._rollouts.message(rollout))
 
     async def _conclude(
         self, rollout: Rollout, state: _DeciderState, step: Step
@@ -132,9 +136,6 @@
 
         A version that is rolled back gets nothing from now on.
         """
-        status = state.status
-        if status is None or status.completed or status.rolled_back:
-            return
         if step.stage is Stage.ROLLED_BACK and not rollout.stage.is_withdrawn:
             self._rollouts.adopt(rollout, Stage.HALTED, 0)
             self._links.broadcast(self._rollouts.message(rollout))
@@ -158,10 +159,7 @@
         """Write the status; return whether it stands in the store now."""
         service, before = rollout.order.service, state.status
         status = RolloutStatus(
-            rollout.order.version,
-            stage is Stage.COMPLETED,
-            stage is Stage.ROLLED_BACK,
-            before.revision if before else 0,
+            rollout.order.version, stage, before.revision if before else 0
         )
         state.status = None
         written = await self._feeds.write_rollout_status(
@@ -169,12 +167,7 @@
         )
         if not isinstance(written, Committed):
             return False
-        state.status = RolloutStatus(
-            status.version,
-            status.completed,
-            status.rolled_back,
-            written.revision,
-        )
+        state.status = replace(status, revision=written.revision)
         return True
 
     async def _load(self, rollout: Rollout, state: _DeciderState) -> bool:
@@ -192,11 +185,11 @@
         if not isinstance(record, Absent):
             self._adopt_record(rollout, record.content)
         if isinstance(status, Absent):
-            status = RolloutStatus('')
+            status = RolloutStatus()
         is_of_this = status.revision > rollout.order.revision
-        if is_of_this and (status.completed or status.rolled_back):
-            stage = Stage.COMPLETED if status.completed else Stage.ROLLED_BACK
-            self._rollouts.adopt(rollout, stage, float(status.completed))
+        if is_of_this and status.stage.is_final:
+            share = float(status.stage is Stage.COMPLETED)
+            self._rollouts.adopt(rollout, status.stage, share)
         state.status = status
         if rollout.stage.is_final and not is_of_this:
             await self._write(rollout, state, rollout.stage)
--- a/src/sesamespoke/serving/rollout_plan.py
+++ b/src/sesamespoke/serving/rollout_plan.py
@@ -92,9 +92,7 @@
 
 
 def plan(view: RolloutView, bounds: RolloutBounds) -> Step:
-    """Return the next step of a rollout."""
-    if view.stage.is_final:
-        return Step(view.stage)
+    """Return the next step of a rollout that has no verdict yet."""
     if view.opinion is Opinion.BAD or view.stage is Stage.HALTED:
         return Step(Stage.ROLLED_BACK)
     is_last_call = view.age >= view.duration * LAST_CALL
--- a/src/sesamespoke/serving/stream_versions.py
+++ b/src/sesamespoke/serving/stream_versions.py
@@ -98,7 +98,7 @@
         known = self._records.known(job.service)
         active = known.active if known else frozenset()
         excluded = self._outside(job.service, active)
-        if self._records.is_store_away and not self._is_any_usable(
+        if self._records.is_store_away and not self._directory.has_usable(
             job.service, excluded
         ):
             return frozenset()
@@ -109,14 +109,10 @@
         if version is None:
             return None
         excluded = self._outside(job.service, frozenset((version,)))
-        if self._is_any_usable(job.service, excluded):
+        if self._directory.has_usable(job.service, excluded):
             return None
         return Refusal(VERSION_GONE, Verdict.NOT_RUN)
 
-    def _is_any_usable(self, service: str, excluded: frozenset[str]) -> bool:
-        usable = self._directory.usable(service)
-        return any(endpoint.name not in excluded for endpoint in usable)
-
     def _outside(
         self, service: str, versions: frozenset[str]
     ) -> frozenset[str]:
--- a/src/sesamespoke/serving/version_rollouts.py
+++ b/src/sesamespoke/serving/version_rollouts.py
@@ -17,6 +17,7 @@
 from sesamespoke.metrics import Metrics
 from sesamespoke.placement import rank_hosts
 from sesamespoke.routing_messages import RolloutAnswers, RolloutStage
+from sesamespoke.serving.catalog import HASH_SPAN
 from sesamespoke.serving.directory import Directory, ListedEndpoint
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.peer_loads import Broadcaster
@@ -40,7 +41,6 @@
 DECIDERS = 2
 """Hosts that are told the answers: the decider, and the one that would follow
 it at once."""
-HASH_SPAN = 2**64
 MS_PER_SECOND = 1000
 
 _Split = tuple[frozenset[str], frozenset[str]]
@@ -152,12 +152,14 @@
             return (new,)
         if rollout.stage is Stage.COMPLETED:
             return (self._replaced(rollout),)
-        if begun_at is not None or not self._is_any_usable(job.service, new):
+        if begun_at is not None or not self._directory.has_usable(
+            job.service, new
+        ):
             return (frozenset(),)
         share = self._share(rollout)
         rarity = rollout.answers.rarity(job.route.name)
         chosen = _is_chosen(job, route_share(rollout.stage, share, rarity))
-        if not (chosen and self._is_any_usable(job.service, old)):
+        if not (chosen and self._directory.has_usable(job.service, old)):
             return (new,)
         return (old | self._spare(rollout, share), new)
 
@@ -259,15 +261,9 @@
         return split
 
     def _split_names(self, service: str, version: str) -> _Split:
-        new = self._names.get((service, version), frozenset())
-        every = frozenset[str]().union(
-            *(
-                names
-                for (name, _), names in self._names.items()
-                if name == service
-            )
-        )
-        return new, every - new
+        listed = self._directory.listed(service)
+        new = frozenset(each.name for each in listed if each.version == version)
+        return new, frozenset(each.name for each in listed) - new
 
     def _held_back(self, service: str) -> frozenset[str]:
         """Return the endpoints of versions that have just appeared."""
@@ -277,16 +273,14 @@
         if len(recent) in {0, len(versions)}:
             return frozenset()
         held = frozenset[str]().union(*(self._names[key] for key in recent))
-        return held if self._is_any_usable(service, held) else frozenset()
+        return (
+            held if self._directory.has_usable(service, held) else frozenset()
+        )
 
     def _usable(self, service: str, names: frozenset[str]) -> Iterable[str]:
         usable = self._directory.usable(service)
         return (each.name for each in usable if each.name in names)
 
-    def _is_any_usable(self, service: str, excluded: frozenset[str]) -> bool:
-        usable = self._directory.usable(service)
-        return any(endpoint.name not in excluded for endpoint in usable)
-
     def _note_versions(self, directory: Directory) -> None:
         names: dict[tuple[str, str], set[str]] = {}
         for endpoint in directory.endpoints.values():
