--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -721,7 +721,7 @@
                 await self._receive(reader, seen)
         except TimeoutError:
             seen.fault = 'no answer in time' if writer else 'unread'
-        except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
+        except (OSError, asyncio.IncompleteReadError, LookupError, ValueError) as exc:
             seen.fault = type(exc).__name__ if writer else 'unread'
         finally:
             if writer is not None:
