Bind a stream to the version whose event its caller gets

Cause: the version that began a stream was noted when the body of any answer began, a 500's too.

Change: on_first_event is called once an event has passed all checks, before the caller gets it, and only there a stream is bound and noted. The hooks of an attempt are one frozen object now (exchange_hooks.py), as the class of an attempt had as many public attributes as the style guide allows.

--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from sesamespoke.answers import Answer, end_to_end, without
@@ -31,6 +30,7 @@
 from sesamespoke.limits import Outcome
 from sesamespoke.serving.catalog import CallKind
 from sesamespoke.serving.directory import ListedEndpoint
+from sesamespoke.serving.exchange_hooks import ExchangeHooks
 from sesamespoke.serving.job import Job
 from sesamespoke.verdicts import (
     BAD_ANSWER,
@@ -93,16 +93,8 @@
 class Exchange:
     """One attempt to get a response from one endpoint.
 
-    Its hooks are called while the attempt runs:
-
-    - ``may_send`` once a connection is open, before the first byte is sent;
-    - ``may_resend`` before the request is sent a second time because a reused
-      connection had been closed; ``resent`` tells whether that happened;
-    - ``on_leaving`` when the endpoint answers that it is leaving;
-    - ``on_backoff`` when it wants no request for some seconds;
-    - ``on_rate_limit`` with each answer: the limit that it names, or None;
-    - ``may_fail_over`` when a stream has sent no event for too long: it tells
-      whether another endpoint can continue the stream.
+    ``resent`` tells whether the request was sent a second time because a
+    reused connection had been closed.
 
     ``first_byte_timeout`` bounds the wait for the first byte of the body, and
     ``stall_timeout`` each later wait for an event of a stream, in seconds. Late
@@ -118,6 +110,7 @@
         endpoint: ListedEndpoint,
         reply: Reply,
         relay: EventRelay,
+        hooks: ExchangeHooks,
     ) -> None:
         """Prepare an attempt; nothing is sent yet."""
         self.first_byte_timeout: float = math.inf
@@ -126,19 +119,13 @@
         self.prefix_holder_address = ''
         self.sent_at: float | None = None
         self.resent = False
-        self.on_first_byte: Callable[[], None] = _ignore
-        self.on_leaving: Callable[[], None] = _ignore
-        self.on_backoff: Callable[[float], None] = _ignore_seconds
-        self.on_rate_limit: Callable[[str | None], None] = _ignore_limit
         self.first_byte_at: float | None = None
-        self.may_send: Callable[[], bool] = _always
-        self.may_resend: Callable[[], bool] = _never
-        self.may_fail_over: Callable[[], bool] = _always
         self._context = context
         self._job = job
         self._endpoint = endpoint
         self._reply = reply
         self._relay = relay
+        self._hooks = hooks
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
 
@@ -157,7 +144,7 @@
         """
         may_reuse = self._job.route.may_repeat
         attempt = await self._try_once(fresh=not may_reuse)
-        if attempt is STALE and self.may_resend():
+        if attempt is STALE and self._hooks.may_resend():
             self.resent = True
             attempt = _after_resend(await self._try_once(fresh=True))
         return replace(attempt, first_token_ms=self._first_byte_ms())
@@ -189,7 +176,7 @@
         return failed(failure, self._relay.usage(0), self._relay.last_id)
 
     async def _send_and_receive(self, conn: Connection) -> Attempt:
-        if not self.may_send():
+        if not self._hooks.may_send():
             conn.clean = True
             return ENDPOINT_UNAVAILABLE
         if self.sent_at is None:
@@ -214,13 +201,14 @@
         if head.status == MISDIRECTED_REQUEST:
             return
         if head.headers.get(self._context.header_names.leaving) == '1':
-            self.on_leaving()
-        self.on_rate_limit(
-            head.headers.get(self._context.header_names.rate_limit)
+            self._hooks.on_leaving()
+        self._hooks.on_rate_limit(
+            head.headers.get(self._context.header_names.rate_limit),
+            self.sent_at,
         )
         seconds = read_retry_after(head.headers.get('Retry-After', ''))
         if head.status == SERVICE_UNAVAILABLE and seconds:
-            self.on_backoff(seconds)
+            self._hooks.on_backoff(seconds)
 
     async def _read_head(self, conn: Connection) -> Head | None:
         """Return the head of the response to this request.
@@ -332,7 +320,7 @@
         try:
             return await conn.pump(sink, self._event_timeout())
         except TimeoutError:
-            if self.may_fail_over():
+            if self._hooks.may_fail_over():
                 raise
         return True
 
@@ -385,6 +373,7 @@
             raise Failure(
                 BAD_ANSWER, 'the stream was not resumed after its last event'
             )
+        self._hooks.on_first_event()
         if not self._reply.started:
             self._start_reply(head)
 
@@ -395,7 +384,7 @@
     def _note_first_byte(self) -> None:
         if self.first_byte_at is None:
             self.first_byte_at = self._loop.time()
-            self.on_first_byte()
+            self._hooks.on_first_byte()
 
     def _first_byte_ms(self) -> int:
         if self.first_byte_at is None:
@@ -455,28 +444,6 @@
     )
 
 
-def _always() -> bool:
-    """Allow the request to be sent."""
-    return True
-
-
-def _never() -> bool:
-    """Forbid sending the request again."""
-    return False
-
-
-def _ignore() -> None:
-    """Do nothing."""
-
-
-def _ignore_seconds(seconds: float) -> None:
-    """Do nothing."""
-
-
-def _ignore_limit(text: str | None) -> None:
-    """Do nothing."""
-
-
 _BODILESS_METHODS = frozenset(('GET', 'HEAD'))
 _MAX_WAIT_SECONDS = 3600.0
 
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -9,6 +9,7 @@
 import math
 import random
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from sesamespoke.answers import Answer, marked
 from sesamespoke.attempts import Attempt, Reply
@@ -27,6 +28,7 @@
 from sesamespoke.serving.chooser import Reservation
 from sesamespoke.serving.directory import ListedEndpoint
 from sesamespoke.serving.exchange import Exchange
+from sesamespoke.serving.exchange_hooks import ExchangeHooks
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.retry_budget import (
     RetryReservation,
@@ -202,23 +204,13 @@
             reservation.endpoint,
             self._reply,
             self._relay,
+            self._hooks_for(reservation),
         )
         if reservation.placement.prefix_holder is not None:
             exchange.prefix_holder_address = (
                 reservation.placement.prefix_holder.address
             )
         self._set_timeouts(exchange)
-        exchange.may_send = lambda: self._may_send(reservation)
-        exchange.may_resend = lambda: self._may_resend(reservation)
-        exchange.may_fail_over = lambda: self._may_fail_over(reservation)
-        exchange.on_leaving = lambda: deps.note_leaving(reservation.endpoint)
-        exchange.on_backoff = lambda seconds: self._note_backoff(
-            reservation.endpoint, seconds
-        )
-        exchange.on_rate_limit = lambda text: self._note_rate_limit(
-            reservation.endpoint, text, exchange.sent_at
-        )
-        exchange.on_first_byte = lambda: self._note_first_byte(reservation)
         try:
             attempt = await exchange.run()
         except asyncio.CancelledError:
@@ -237,6 +229,19 @@
             self._log_failure(reservation, exchange, attempt, step)
         return attempt, step
 
+    def _hooks_for(self, reservation: Reservation) -> ExchangeHooks:
+        endpoint = reservation.endpoint
+        return ExchangeHooks(
+            may_send=lambda: self._may_send(reservation),
+            may_resend=lambda: self._may_resend(reservation),
+            may_fail_over=lambda: self._may_fail_over(reservation),
+            on_first_byte=lambda: self._note_first_byte(reservation),
+            on_first_event=lambda: self._note_first_event(reservation),
+            on_leaving=lambda: self._deps.note_leaving(endpoint),
+            on_backoff=partial(self._note_backoff, endpoint),
+            on_rate_limit=partial(self._note_rate_limit, endpoint),
+        )
+
     def _note_unanswered(
         self, reservation: Reservation, exchange: Exchange
     ) -> None:
@@ -266,15 +271,21 @@
         answer clears a request only after ``PROOF_SECONDS``.
         """
         self._deps.chooser.loads.end_prefill(reservation.in_flight)
-        if self._job.route.resumable:
-            self._version = reservation.endpoint.version
-            self._deps.stream_versions.note_begun(self._job, self._version)
         tracker, job = self._deps.crash_tracker, self._job
         if tracker.is_suspected(job):
             self._proof = self._loop.call_later(
                 PROOF_SECONDS, tracker.clear, job, self._loop.time()
             )
 
+    def _note_first_event(self, reservation: Reservation) -> None:
+        """Bind the stream to the version whose event its caller gets.
+
+        An attempt that failed before its first event binds it to none.
+        """
+        if self._job.route.resumable:
+            self._version = reservation.endpoint.version
+            self._deps.stream_versions.note_begun(self._job, self._version)
+
     def _note_backoff(self, endpoint: ListedEndpoint, seconds: float) -> None:
         """Send nothing to an endpoint for as long as it asks."""
         deps, service = self._deps, self._job.service
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,7 +1,9 @@
 """Streams of services whose endpoints run different software versions."""
 
 import asyncio
+import base64
 import copy
+import json
 
 import pytest
 from support_platform import (
@@ -12,10 +14,13 @@
     RequestHandler,
     Writer,
     chunk,
+    full_response,
     head_bytes,
 )
 from support_routed import Caller, Fleet, run_with_fleet, wait_until
 
+from sesamespoke.serving.stream_journal import JOURNAL_PREFIX
+
 LAST_EVENT = 4
 STREAMS = 8
 BREAK_AFTER = 2
@@ -57,6 +62,20 @@
     return serve
 
 
+def late_engine_of(version: str) -> RequestHandler:
+    """Return an engine whose first event comes after a batch of the journal."""
+
+    async def serve(asked: ReceivedRequest, writer: Writer) -> None:
+        await asyncio.sleep(0.7)
+        await engine_of(version)(asked, writer)
+
+    return serve
+
+
+async def fail(asked: ReceivedRequest, writer: Writer) -> None:
+    writer.write(full_response(asked, b'failed', 500))
+
+
 async def begin_stream(fleet: Fleet, request_id: str) -> tuple[Caller, str]:
     """Begin a stream; return its caller and the version that began it."""
     caller = await fleet.connect()
@@ -212,6 +231,42 @@
     run_with_fleet(steps)
 
 
+def test_version_of_a_failed_attempt_is_not_journalled() -> None:
+    """A caller took up its stream at the version of an attempt that failed."""
+
+    async def steps(fleet: Fleet) -> None:
+        failing = await fleet.add_engine('i-1', 'llm', fail)
+        await fleet.add_engine('i-2', 'llm', late_engine_of('v2'), version='v2')
+        await wait_until(lambda: knows_versions(fleet, {'v1', 'v2'}))
+        callers = [await fleet.connect() for _ in range(STREAMS)]
+        answers = await asyncio.gather(
+            *(
+                caller.request('/s/1', request_id=f'r{number}')
+                for number, caller in enumerate(callers)
+            )
+        )
+        assert failing.requests
+        began = {
+            f'r{number}'
+            for number, answer in enumerate(answers)
+            if answer.status == 200
+        }
+        await wait_until(lambda: began <= journalled(fleet, 'v2'))
+        assert not journalled(fleet, 'v1')
+
+    run_with_fleet(steps)
+
+
+def journalled(fleet: Fleet, version: str) -> set[str]:
+    """Return the streams that were ever journalled with a version."""
+    batches = (
+        json.loads(base64.b64decode(change['value']))
+        for change in fleet.store.log
+        if change['key'].startswith(JOURNAL_PREFIX) and 'value' in change
+    )
+    return {each for batch in batches for each in batch.get(version, ())}
+
+
 async def split_streams(fleet: Fleet, *services: str) -> None:
     """Split the streams of the route evenly between services."""
     config = copy.deepcopy(CONFIG)
