Take a record of versions as proof only in the era that it is complete in

Cause: a record with one active version was proof that a stream began there, also when the store had come back from a copy that lacks the versions that became active since, and with them the batches of a router that was killed.

Change: a record names the era in which it is complete. In another one a router concludes a version only from what it has seen itself for longer than streams last; streams are journalled until the record is marked again. What a first restore had lost is kept over a second one.

--- a/src/sesamespoke/serving/stream_versions.py
+++ b/src/sesamespoke/serving/stream_versions.py
@@ -25,12 +25,24 @@
 before its router went."""
 UNKNOWN_RETRY_SECONDS = 0.5
 
-VERSION_UNKNOWN = Reason(
+STORE_UNREADABLE = Reason(
     'stream_version_unknown',
     503,
     'server_error',
     'the software version that began this stream is not known now',
 )
+VERSION_UNPROVEN = Reason(
+    'stream_version_unproven',
+    503,
+    'server_error',
+    'the platform has lost records that may have named this stream',
+)
+VERSION_UNRECORDED = Reason(
+    'stream_version_unrecorded',
+    503,
+    'server_error',
+    'the software version that began this stream was never recorded',
+)
 VERSION_GONE = Reason(
     'stream_version_gone',
     503,
@@ -67,25 +79,36 @@
 
     async def find(self, job: Job) -> str | Refusal:
         """Return the version of a stream that a caller takes up."""
-        for lookup in range(LOOKUPS):
-            if lookup:
-                await asyncio.sleep(self._journal.batch_seconds)
-            version = self._journal.version_of(job.resumed_id)
-            if version is not None:
-                return version
-            record, is_loaded = await asyncio.gather(
-                self._records.read(job.service), self._journal.load()
-            )
-            if isinstance(record, StoreUnavailable) or not is_loaded:
+        found = await self._look_up(job)
+        for _ in range(1, LOOKUPS):
+            if isinstance(found, str) or found is STORE_UNREADABLE:
                 break
-            version = self._journal.version_of(job.resumed_id)
-            if version is not None:
-                return version
-            if len(record.active) == 1:
-                return next(iter(record.active))
-        return Refusal(
-            VERSION_UNKNOWN, Verdict.NOT_RUN, retry_after=UNKNOWN_RETRY_SECONDS
+            await asyncio.sleep(self._journal.batch_seconds)
+            found = await self._look_up(job)
+        if isinstance(found, str):
+            return found
+        # Nobody is left who could still record the version.
+        is_final = found is VERSION_UNRECORDED
+        retry_after = None if is_final else UNKNOWN_RETRY_SECONDS
+        return Refusal(found, Verdict.NOT_RUN, retry_after=retry_after)
+
+    async def _look_up(self, job: Job) -> str | Reason:
+        """Read the store once; return a version, or why none is known."""
+        version = self._journal.version_of(job.resumed_id)
+        if version is not None:
+            return version
+        record, is_loaded = await asyncio.gather(
+            self._records.read(job.service), self._journal.load()
         )
+        if isinstance(record, StoreUnavailable) or not is_loaded:
+            return STORE_UNREADABLE
+        version = self._journal.version_of(job.resumed_id)
+        if version is None:
+            version = self._records.sole_version(job.service, record)
+        if version is not None:
+            return version
+        is_complete = self._records.is_complete(record)
+        return VERSION_UNRECORDED if is_complete else VERSION_UNPROVEN
 
     def excluded(self, job: Job, version: str | None) -> frozenset[str]:
         """Return the endpoints that must not be used for a stream.
@@ -160,10 +183,5 @@
     records = VersionRecords(
         store, directory, partial(resumable_services, catalog), clock, log
     )
-
-    def is_needed(service: str) -> bool:
-        known = records.known(service)
-        return known is not None and known.are_mixed
-
-    journal = StreamJournal(host, store, clock, is_needed, hosts)
+    journal = StreamJournal(host, store, clock, records.need_journal, hosts)
     return SharedStreamVersions(directory, records, journal)
--- a/src/sesamespoke/serving/version_records.py
+++ b/src/sesamespoke/serving/version_records.py
@@ -6,6 +6,10 @@
 A version is recorded as pending first, while no stream begins there, and soon
 afterwards as active. Meanwhile all routers learn that there are several, and
 journal their streams (see ``stream_journal``).
+
+A store that has come back from a copy lacks changes. Its record proves nothing
+until no stream from before can be taken up any more; one of the routers then
+marks it as complete in the new era.
 """
 
 import asyncio
@@ -13,7 +17,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from functools import partial
 
 from sesamespoke.checked_fields import MALFORMED
@@ -21,6 +25,7 @@
 from sesamespoke.serving.platform_interface import PlatformStore
 from sesamespoke.serving.serving_dependencies import Log
 from sesamespoke.serving.shared_read import SharedRead
+from sesamespoke.serving.version_history import VersionHistory
 from sesamespoke.store import (
     Absent,
     Conflict,
@@ -41,39 +46,40 @@
 ACTIVATION_SECONDS = 1.5
 """Time for which a version is pending: longer than the interval at which the
 list of endpoints reaches all routers, and than a batch of the journal."""
-RETIRE_SECONDS = 60.0
-"""Time after which a version that is no longer listed is removed; streams last
-for some seconds."""
 PATIENCE_SECONDS = 3.0
 """Time without an answer of the store after which versions are used that aren't
 recorded, if no endpoint of another version can be used."""
 
 
+NO_ERA = -2
+"""Stands for the era of a record that doesn't tell in which it is complete."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceVersions:
     """A record; streams begin at ``active`` versions, but not at ``pending``.
 
-    ``revision`` is the store's revision of the record; 0 if there is none.
+    ``revision`` is the store's revision of the record; 0 if there is none. In
+    the store's era ``era`` the record names every version at which a stream
+    that can still go on may have begun.
     """
 
     active: frozenset[str] = frozenset()
     pending: frozenset[str] = frozenset()
     revision: int = 0
+    era: int = NO_ERA
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is no record that can be read."""
+        return not (self.active or self.pending)
 
     @property
     def are_mixed(self) -> bool:
-        """Return whether streams of the service must be journalled."""
+        """Return whether there are several versions."""
         return len(self.active | self.pending) > 1
 
 
-@dataclass(slots=True)
-class _Sightings:
-    """When versions of a service became pending here, and were listed last."""
-
-    pending_since: dict[str, float] = field(default_factory=dict)
-    listed_at: dict[str, float] = field(default_factory=dict)
-
-
 Read = ServiceVersions | StoreUnavailable
 
 
@@ -95,9 +101,8 @@
         self._clock = clock
         self._log = log
         self._known: dict[str, ServiceVersions] = {}
-        self._before_restore: dict[str, ServiceVersions] = {}
+        self._history = VersionHistory(clock)
         self._unconfirmed: set[str] = set()
-        self._sightings: dict[str, _Sightings] = {}
         self._reads: dict[str, SharedRead[Read]] = {}
         self._failing_since = math.inf
         store.era.listeners.append(self._forget)
@@ -106,6 +111,48 @@
         """Return the record as it was last read; None if it never was."""
         return self._known.get(service)
 
+    def need_journal(self, service: str) -> bool:
+        """Return whether the streams of a service must be journalled.
+
+        They must while its record alone doesn't tell at which version a
+        stream began.
+        """
+        known = self._known.get(service)
+        if known is None:
+            return False
+        return known.are_mixed or not self.is_complete(known)
+
+    def is_complete(self, record: ServiceVersions) -> bool:
+        """Return whether a record lacks no version that was recorded."""
+        return record.era == self._store.era.number
+
+    def sole_version(self, service: str, record: ServiceVersions) -> str | None:
+        """Return the only version at which a stream can have begun.
+
+        ``record`` has just been read. The stream isn't in the journal; None
+        if it may have begun at one of several versions.
+        """
+        history = self._history
+        possible = record.active
+        is_proof = self.is_complete(record)
+        if not is_proof:
+            possible |= record.pending | history.seen(service)
+            is_proof = history.covers_streams(service)
+        elif history.had_outage:
+            possible |= history.seen(service)
+        if is_proof and len(possible) == 1:
+            return next(iter(possible))
+        self._log(
+            'stream_version_open',
+            service=service,
+            possible=sorted(possible),
+            is_proof=is_proof,
+            record_era=record.era,
+            era=self._store.era.number,
+            era_followed_s=round(history.followed_era),
+        )
+        return None
+
     @property
     def is_store_away(self) -> bool:
         """Return whether the store has not answered for some time."""
@@ -130,8 +177,10 @@
 
     def _forget(self) -> None:
         """Read the records again: a store from a copy may lack changes."""
-        self._before_restore |= self._known
+        for service, known in self._known.items():
+            self._history.note_lost(service, known.active)
         self._unconfirmed.update(self._known)
+        self._history.note_era(self._store.era.number)
 
     async def _check(self, service: str) -> None:
         """Record the versions that are listed, if the record lacks them.
@@ -154,7 +203,7 @@
         self._unconfirmed.discard(service)
         updated = self._update(service, read, listed)
         if updated == read:
-            self._before_restore.pop(service, None)
+            self._history.note_restored(service)
         elif updated.active:
             await self._write(service, updated)
 
@@ -163,39 +212,48 @@
         listed = frozenset(
             endpoint.version for endpoint in self._directory.listed(service)
         )
-        seen = self._sightings.setdefault(service, _Sightings())
-        seen.listed_at.update(dict.fromkeys(listed, self._clock()))
+        self._history.note_listed(service, listed)
         return listed
 
     def _update(
         self, service: str, known: ServiceVersions, listed: frozenset[str]
     ) -> ServiceVersions:
         """Return what the record should hold by now."""
-        now, seen = self._clock(), self._sightings[service]
-        lost = self._before_restore.get(service, ServiceVersions())
-        active = known.active | lost.active
+        history = self._history
+        active = known.active | history.lost(service)
         pending = known.pending | (listed - active)
-        seen.pending_since = {
-            **dict.fromkeys(pending, now),
-            **seen.pending_since,
-        }
-        due_since = now - ACTIVATION_SECONDS
-        if not self._is_usable(service, active):
-            due_since = now
+        history.note_pending(service, pending)
+        wait = ACTIVATION_SECONDS if self._is_usable(service, active) else 0
         due = {
-            each for each in pending if seen.pending_since[each] <= due_since
+            each
+            for each in pending
+            if history.pending_for(service, each) >= wait
         }
         retired = {
-            version
-            for version in active - listed
-            if now - seen.listed_at.setdefault(version, now) > RETIRE_SECONDS
+            each
+            for each in active - listed
+            if history.is_retired(service, each)
         }
         if not listed:
             retired.clear()
         return replace(
-            known, active=(active - retired) | due, pending=pending - due
+            known,
+            active=(active - retired) | due,
+            pending=pending - due,
+            era=self._complete_era(service, known),
         )
 
+    def _complete_era(self, service: str, known: ServiceVersions) -> int:
+        """Return the era in which the updated record is complete.
+
+        It is complete in the present one if there was no record before, or
+        once no stream from before this era can be taken up any more.
+        """
+        is_first = known.is_empty and not self._history.lost(service)
+        if is_first or self._history.outlasts_restore:
+            return self._store.era.number
+        return known.era
+
     def _is_usable(self, service: str, versions: frozenset[str]) -> bool:
         """Return whether an endpoint of one of the versions can be used."""
         usable = self._directory.usable(service)
@@ -206,7 +264,10 @@
         if isinstance(found, StoreUnavailable):
             self._failing_since = min(self._failing_since, self._clock())
             return found
+        if self.is_store_away:
+            self._history.note_outage_end()
         self._failing_since = math.inf
+        self._history.note_era(self._store.era.number)
         return self._adopt(service, found)
 
     async def _write(self, service: str, updated: ServiceVersions) -> None:
@@ -216,6 +277,7 @@
             {
                 'active': sorted(updated.active),
                 'pending': sorted(updated.pending),
+                'era': updated.era,
             }
         )
         written = await self._store.transact(
@@ -227,7 +289,7 @@
             for found in written.found:
                 self._adopt(service, found)
         elif not isinstance(written, StoreUnavailable):
-            self._before_restore.pop(service, None)
+            self._history.note_restored(service)
             self._put(service, replace(updated, revision=written.revision))
 
     def _adopt(self, service: str, found: Entry | Absent) -> ServiceVersions:
@@ -239,18 +301,14 @@
     def _put(self, service: str, versions: ServiceVersions) -> None:
         before = self._known.get(service)
         self._known[service] = versions
-        seen = self._sightings.setdefault(service, _Sightings())
-        seen.pending_since = {
-            version: at
-            for version, at in seen.pending_since.items()
-            if version in versions.pending
-        }
+        self._history.note_pending(service, versions.pending)
         if before != versions:
             self._log(
                 'stream_versions',
                 service=service,
                 active=sorted(versions.active),
                 pending=sorted(versions.pending),
+                complete_in=versions.era,
             )
 
 
@@ -261,9 +319,10 @@
     try:
         fields = json.loads(found.content)
         rows = (_texts(fields['active']), _texts(fields['pending']))
+        era = int(fields.get('era', NO_ERA))
     except MALFORMED:
         return ServiceVersions(revision=found.revision)
-    return ServiceVersions(*rows, found.revision)
+    return ServiceVersions(*rows, found.revision, era)
 
 
 def _texts(rows: Iterable[object]) -> frozenset[str]:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -25,6 +25,7 @@
 from sesamespoke.verdicts import Refusal
 
 SERVICE = ENGINE.name
+VERSION_HISTORY_RETAIN = 'sesamespoke.serving.version_history.RETAIN_SECONDS'
 STREAMS = 40
 TIMEOUT_SECONDS = 20
 
@@ -45,7 +46,7 @@
             lambda event, /, **_: self.logged.append(event),
         )
         self.journal = StreamJournal(
-            host, self.client, clock, self._is_needed, lambda: 2
+            host, self.client, clock, self.records.need_journal, lambda: 2
         )
         self.versions = SharedStreamVersions(
             self.directory, self.records, self.journal
@@ -53,10 +54,6 @@
         self.tasks = self.versions.start_tasks()
         self._revision = 0
 
-    def _is_needed(self, service: str) -> bool:
-        known = self.records.known(service)
-        return known is not None and known.are_mixed
-
     def list(self, *versions: str) -> None:
         """List two endpoints of each version."""
         self._revision += 1
@@ -244,6 +241,100 @@
     run_with_store(steps)
 
 
+def test_stream_of_a_version_that_a_copy_lacks_is_not_joined() -> None:
+    """A record from a copy named one version; a stream of another went on."""
+
+    async def steps(store: StoreStandIn) -> None:
+        store.era = '1'
+        router = await start(store, 'v1')
+        copy = store.copy()
+        router.list('v1', 'v2')
+        await wait_until(lambda: router.usable_versions() == {'v1', 'v2'})
+        killed = Router(store, 'killed')
+        killed.list('v1', 'v2')
+        await wait_until(lambda: killed.usable_versions() == {'v1', 'v2'})
+        killed.begin('s', 'v2')
+        await wait_until(lambda: not killed.journal._unwritten)
+        killed.kill()
+        store.restore(copy)
+        assert await router.find('s') is None
+        router.kill()
+        started = await start(store, 'v1')
+        assert await started.find('s') is None
+        started.kill()
+
+    run_with_store(steps)
+
+
+def test_version_is_still_known_after_two_restores() -> None:
+    """The second restore made a router forget what the first one lost."""
+
+    async def steps(store: StoreStandIn) -> None:
+        store.era = '1'
+        router = await start(store, 'v1')
+        copy = store.copy()
+        router.list('v1', 'v2')
+        await wait_until(lambda: router.usable_versions() == {'v1', 'v2'})
+        router.list('v1')
+        for _ in range(2):
+            store.restore(copy)
+            await recorded(router)
+        await wait_until(lambda: router.usable_versions() == {'v1'})
+        assert await router.find('s') is None
+        await wait_until(lambda: 'v2' in known_active(router))
+        router.kill()
+
+    run_with_store(steps)
+
+
+def test_streams_of_one_version_go_on_after_a_restore(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A router that has seen no other version needs no record of this era."""
+    monkeypatch.setattr(VERSION_HISTORY_RETAIN, 1.0)
+
+    async def steps(store: StoreStandIn) -> None:
+        store.era = '1'
+        router = await start(store, 'v1')
+        await asyncio.sleep(1)
+        store.restore(store.copy())
+        assert await router.find('s') == 'v1'
+        started = await start(store, 'v1')
+        assert await started.find('s') is None
+        await asyncio.sleep(1.5)
+        assert await started.find('s') == 'v1'
+        later = await start(store, 'v1')
+        assert await later.find('s') == 'v1'
+        for each in (router, started, later):
+            each.kill()
+
+    run_with_store(steps)
+
+
+def test_streams_after_a_restore_are_journalled() -> None:
+    """Routers that start after a restore can't conclude a version."""
+
+    async def steps(store: StoreStandIn) -> None:
+        store.era = '1'
+        router = await start(store, 'v1')
+        store.restore(store.copy())
+        await recorded(router)
+        router.begin('s', 'v1')
+        await wait_until(lambda: not router.journal._unwritten)
+        router.kill()
+        started = await start(store, 'v1')
+        assert await started.find('s') == 'v1'
+        assert await started.find('other') is None
+        started.kill()
+
+    run_with_store(steps)
+
+
+def known_active(router: Router) -> frozenset[str]:
+    known = router.records.known(SERVICE)
+    return known.active if known else frozenset()
+
+
 async def recorded(router: Router) -> ServiceVersions:
     found = await router.records.read(SERVICE)
     assert isinstance(found, ServiceVersions)
@@ -254,7 +345,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(
-        'sesamespoke.serving.version_records.RETIRE_SECONDS', 1.0
+        'sesamespoke.serving.version_history.RETIRE_SECONDS', 1.0
     )
 
     async def steps(store: StoreStandIn) -> None:
