Write the version of a stream down before its caller gets an event

Change: the first event is passed on once its batch is written, while the record of versions alone doesn't tell where a stream began. A store that is slow or away is not waited for. The newest batch wins by its revision, no longer by its key's text.

--- a/src/sesamespoke/platform/settings.py
+++ b/src/sesamespoke/platform/settings.py
@@ -35,6 +35,9 @@
 BODY_MEMORY_FRACTION = 0.2
 """Fraction of the process's memory that request bodies may take: a router needs
 some 50 MB for itself, and a body is held twice while it is sent."""
+JOURNAL_FRACTION = 0.5
+"""Fraction of the store's writing calls that the journal of streams may use."""
+DEFAULT_STORE_WRITES = 200.0
 DEFAULT_MEMORY_MB = 1024
 BYTES_PER_MB = 1_048_576
 DEFAULT_FILE_DESCRIPTORS = 4096
@@ -102,6 +105,7 @@
         ),
         max_callers=max(1, int(descriptors * CALLERS_FRACTION)),
         body_memory=memory * BODY_MEMORY_FRACTION,
+        journal_writes=_read_journal_writes(fields['platform']),
         rollouts=_read_rollout_bounds(bounds),
     )
     return PlatformSettings(
@@ -109,6 +113,12 @@
     )
 
 
+def _read_journal_writes(platform: Fields) -> float:
+    """Return how many writes a second the journal of streams may take."""
+    writes = read_number(platform, 'writes_per_s', DEFAULT_STORE_WRITES)
+    return max(1, writes) * JOURNAL_FRACTION
+
+
 def _read_rollout_bounds(bounds: Fields) -> RolloutBounds | None:
     """Return the bounds of rollouts; None where they aren't ordered."""
     if 'exposure_share' not in bounds:
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -126,6 +126,7 @@
         self._reply = reply
         self._relay = relay
         self._hooks = hooks
+        self._first_events = b''
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
 
@@ -294,9 +295,10 @@
         """Relay complete events until the body ends."""
         if self._context.header_names.seal not in head.headers:
             raise Failure(BAD_ANSWER, 'the stream is not signed')
-        sink = self._make_sink(conn, head, body)
+        sink = self._make_sink(conn, body)
         while not body.finished:
             is_open = await self._pump(conn, sink)
+            await self._pass_first_events(head)
             if not is_open:
                 _end_by_close(conn, body)
             await self._reply.drain()
@@ -341,7 +343,6 @@
     def _make_sink(
         self,
         conn: Connection,
-        head: Head,
         body: BodyReader,
     ) -> Sink:
         """Return a sink that relays the bytes of a body as events."""
@@ -361,21 +362,31 @@
                 # A reply started by a comment alone could not be resumed.
                 return goes_on
             if is_first:
-                self._start_events(head, events)
-            # Stop after the first event: the next pump uses the stall timeout.
-            return reply.send(events) and goes_on and not is_first
+                # The next pump uses the stall timeout.
+                self._hold_first(events)
+                return False
+            return reply.send(events) and goes_on
 
         return relay
 
-    def _start_events(self, head: Head, events: bytes) -> None:
+    def _hold_first(self, events: bytes) -> None:
         self._note_first_byte()
         if not self._relay.follows(events):
             raise Failure(
                 BAD_ANSWER, 'the stream was not resumed after its last event'
             )
-        self._hooks.on_first_event()
+        self._first_events = events
+
+    async def _pass_first_events(self, head: Head) -> None:
+        """Pass on the events that the stream has begun with, if it has now."""
+        events = self._first_events
+        if not events:
+            return
+        self._first_events = b''
+        await self._hooks.before_first_event()
         if not self._reply.started:
             self._start_reply(head)
+        self._reply.send(events)
 
     def _start_reply(self, head: Head) -> None:
         rows = without(end_to_end(head.headers), 'content-length')
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -222,7 +222,7 @@
 
     def _follow_versions(self, feeds: Feeds) -> SharedStreamVersions:
         return open_stream_versions(
-            self.cfg.host,
+            self.cfg,
             feeds.store,
             self.directory,
             lambda: self.platform_sync.operator_config.catalog,
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -236,7 +236,7 @@
             may_resend=lambda: self._may_resend(reservation),
             may_fail_over=lambda: self._may_fail_over(reservation),
             on_first_byte=lambda: self._note_first_byte(reservation),
-            on_first_event=lambda: self._note_first_event(reservation),
+            before_first_event=partial(self._begin_stream, endpoint.version),
             on_leaving=lambda: self._deps.note_leaving(endpoint),
             on_backoff=partial(self._note_backoff, endpoint),
             on_rate_limit=partial(self._note_rate_limit, endpoint),
@@ -277,14 +277,14 @@
                 PROOF_SECONDS, tracker.clear, job, self._loop.time()
             )
 
-    def _note_first_event(self, reservation: Reservation) -> None:
+    async def _begin_stream(self, version: str) -> None:
         """Bind the stream to the version whose event its caller gets.
 
         An attempt that failed before its first event binds it to none.
         """
         if self._job.route.resumable:
-            self._version = reservation.endpoint.version
-            self._deps.stream_versions.note_begun(self._job, self._version)
+            self._version = version
+            await self._deps.stream_versions.begin(self._job, version)
 
     def _note_backoff(self, endpoint: ListedEndpoint, seconds: float) -> None:
         """Send nothing to an endpoint for as long as it asks."""
--- a/src/sesamespoke/serving/serving_dependencies.py
+++ b/src/sesamespoke/serving/serving_dependencies.py
@@ -67,8 +67,11 @@
     ``version`` is the one that began it; None if none has yet.
     """
 
-    def note_begun(self, job: Job, version: str) -> None:
-        """Record that a stream's first event has come from a version."""
+    async def begin(self, job: Job, version: str) -> None:
+        """Record that a stream's first event has come from a version.
+
+        Return once its caller may get the event.
+        """
 
     async def find(self, job: Job) -> str | Refusal:
         """Return the version of a stream that a caller takes up."""
--- a/src/sesamespoke/serving/settings.py
+++ b/src/sesamespoke/serving/settings.py
@@ -46,8 +46,9 @@
 
     ``peers`` is the listen address for streams from other routers.
     ``max_callers`` limits the open connections of callers, ``body_memory`` the
-    bytes that their requests' bodies take together. ``rollouts`` is set
-    where operators order rollouts of software versions.
+    bytes that their requests' bodies take together. All routers together
+    make at most ``journal_writes`` writes a second to the journal of streams.
+    ``rollouts`` is set where operators order rollouts of software versions.
     """
 
     host: str
@@ -61,6 +62,7 @@
     feeds: FeedSettings = field(default_factory=FeedSettings)
     max_callers: int = 2000
     body_memory: float = DEFAULT_BODY_MEMORY
+    journal_writes: float = 100.0
     rollouts: RolloutBounds | None = None
 
 
--- a/src/sesamespoke/serving/stream_journal.py
+++ b/src/sesamespoke/serving/stream_journal.py
@@ -1,11 +1,13 @@
 """Which software version began each stream, for routers that didn't begin it.
 
 While a service runs several versions, each router writes the ids of its new
-streams to the store, in batches. A caller whose router has gone takes its
-stream up at another one, which reads them there.
+streams to the store, in batches, and a caller gets the first event of a stream
+once its batch is written. A caller whose router has gone takes its stream up
+at another one, which reads the batches there.
 """
 
 import asyncio
+import contextlib
 import json
 import secrets
 from collections.abc import Callable, Mapping
@@ -28,14 +30,36 @@
 """Time after its first event for which a stream is kept; its caller stops
 trying before."""
 LEASE_SECONDS = 2 * RETAIN_SECONDS
-MIN_BATCH_SECONDS = 0.4
-BATCH_SECONDS_PER_HOST = 0.01
-"""The fleet makes at most 100 such writes a second."""
+CHECK_SECONDS = 0.4
+"""Interval at which streams are looked for that must be written by now, since
+their service has got a second version."""
+PATIENCE_SECONDS = 0.2
+"""Time that a write may take while first events wait for it. A store that is
+slower is not waited for: a late stream serves its caller, an unwritten one
+only after a crash."""
 MAX_BATCHES = 8
 """Batches of a process in the store, from which they are written as one."""
 TOKEN_BYTES = 4
 
 
+@dataclass(frozen=True, slots=True)
+class JournalSettings:
+    """How often the routers write to the journal.
+
+    All of them together make at most ``writes_per_second`` writes; ``hosts``
+    tells how many they are.
+    """
+
+    host: str
+    writes_per_second: float
+    hosts: Callable[[], int | None]
+
+    @property
+    def interval(self) -> float:
+        """Return the seconds from one write of a router to its next one."""
+        return (self.hosts() or 1) / self.writes_per_second
+
+
 @dataclass(frozen=True, slots=True)
 class _Stream:
     service: str
@@ -46,26 +70,24 @@
 class StreamJournal:
     """The streams begun here, and those of other routers in the store.
 
-    ``is_needed`` tells whether streams of a service are written to the store,
-    and ``hosts`` by how many routers.
+    ``is_needed`` tells whether streams of a service are written to the store.
     """
 
     def __init__(
         self,
-        host: str,
+        cfg: JournalSettings,
         store: PlatformStore,
         clock: Callable[[], float],
         is_needed: Callable[[str], bool],
-        hosts: Callable[[], int | None],
     ) -> None:
         """Start without streams; ``run`` writes them."""
+        self._cfg = cfg
         self._store = store
         self._clock = clock
         self._is_needed = is_needed
-        self._hosts = hosts
         # A process must not replace the batches of the one before it.
         self._prefix = (
-            f'{JOURNAL_PREFIX}{host}/{secrets.token_hex(TOKEN_BYTES)}'
+            f'{JOURNAL_PREFIX}{cfg.host}/{secrets.token_hex(TOKEN_BYTES)}'
         )
         self._streams: dict[str, _Stream] = {}
         self._unwritten: set[str] = set()
@@ -74,7 +96,11 @@
         self._lease: Lease | None = None
         self._found: Mapping[str, str] = {}
         self._load = SharedRead(self._read)
-        store.era.listeners.append(self._write_again)
+        self._is_wanted = asyncio.Event()
+        self._next_batch = asyncio.Event()
+        self._answers = True
+        self._writing_since: float | None = None
+        store.era.listeners.append(self._on_new_era)
 
     def note_begun(self, stream_id: str, service: str, version: str) -> None:
         """Record the version of a stream whose first event has come."""
@@ -82,6 +108,19 @@
         self._streams[stream_id] = _Stream(service, version, self._clock())
         self._unwritten.add(stream_id)
 
+    async def wait_written(self, stream_id: str) -> None:
+        """Return once a stream is in the store, if that may be waited for.
+
+        A store that is slow or away is not waited for.
+        """
+        stream = self._streams[stream_id]
+        if self._is_slow or not self._is_needed(stream.service):
+            return
+        self._is_wanted.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.batch_seconds + PATIENCE_SECONDS):
+                await self._next_batch.wait()
+
     def version_of(self, stream_id: str) -> str | None:
         """Return the version that began a stream, as far as it is known."""
         stream = self._streams.get(stream_id)
@@ -94,15 +133,45 @@
     @property
     def batch_seconds(self) -> float:
         """Return the interval at which new streams are written."""
-        hosts = self._hosts() or 0
-        return max(MIN_BATCH_SECONDS, hosts * BATCH_SECONDS_PER_HOST)
+        return self._cfg.interval
 
     async def run(self) -> None:
         """Write new streams until cancelled."""
         while True:
-            await asyncio.sleep(self.batch_seconds)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_SECONDS):
+                    await self._is_wanted.wait()
+            self._is_wanted.clear()
             self._drop_old()
-            await self._write()
+            began_at = self._clock()
+            await self._write_next_batch()
+            took = self._clock() - began_at
+            await asyncio.sleep(self.batch_seconds - took)
+
+    @property
+    def _is_slow(self) -> bool:
+        """Return whether a write failed or takes longer than it may."""
+        if self._writing_since is None:
+            return not self._answers
+        return self._clock() - self._writing_since > PATIENCE_SECONDS
+
+    async def _write_next_batch(self) -> None:
+        """Write what is due, and let go what waits for it.
+
+        Streams that begin meanwhile wait for the batch after this one.
+        """
+        batch = self._next_batch
+        self._next_batch = asyncio.Event()
+        self._writing_since = self._clock()
+        with contextlib.ExitStack() as stack:
+            stack.callback(batch.set)
+            is_written = await self._write()
+        self._answers = is_written and not self._is_slow
+        self._writing_since = None
+
+    def _on_new_era(self) -> None:
+        self._write_again()
+        self._is_wanted.set()
 
     def _write_again(self) -> None:
         """Write all streams again: a store from a copy may lack them."""
@@ -123,31 +192,33 @@
             each for each in ids if self._is_needed(self._streams[each].service)
         }
 
-    async def _write(self) -> None:
+    async def _write(self) -> bool:
+        """Write what is due; return whether the store has it now."""
         due = self._due(self._unwritten)
         if not due:
-            return
+            return self._answers
         old: list[str] = []
         if len(self._batches) >= MAX_BATCHES:
             old = self._batches
             due = self._due(set(self._streams))
         lease = await self._renew_lease()
         if lease is None:
-            return
+            return False
         self._batch_number += 1
         key = f'{self._prefix}/{self._batch_number}'
         put = Put(key, self._encode(due), lease.number)
         era = self._store.era.number
         written = await self._store.transact((), (put, *map(Delete, old)))
         if era != self._store.era.number:
-            return
+            return await self._write()
         if isinstance(written, StoreUnavailable):
             # The lease may have ended, and with it all that was written.
             self._write_again()
-            return
+            return False
         self._batches = [each for each in self._batches if each not in old]
         self._batches.append(key)
         self._unwritten -= due
+        return True
 
     async def _renew_lease(self) -> Lease | None:
         lease = self._lease
@@ -176,7 +247,7 @@
         if isinstance(listed, StoreUnavailable):
             return False
         found: dict[str, str] = {}
-        for entry in listed:
+        for entry in sorted(listed, key=lambda each: each.revision):
             found.update(_decode(entry))
         self._found = found
         return True
--- a/src/sesamespoke/serving/stream_versions.py
+++ b/src/sesamespoke/serving/stream_versions.py
@@ -15,14 +15,19 @@
 from sesamespoke.serving.platform_interface import PlatformStore
 from sesamespoke.serving.restarting_tasks import run_with_restarts
 from sesamespoke.serving.serving_dependencies import Log
-from sesamespoke.serving.stream_journal import StreamJournal
+from sesamespoke.serving.settings import ServingSettings
+from sesamespoke.serving.stream_journal import (
+    PATIENCE_SECONDS,
+    JournalSettings,
+    StreamJournal,
+)
 from sesamespoke.serving.version_records import VersionRecords
 from sesamespoke.store import StoreUnavailable
 from sesamespoke.verdicts import Reason, Refusal, Verdict
 
 LOOKUPS = 2
-"""Times that the store is read for a stream; its first event may have come just
-before its router went."""
+"""Times that the store is read for a stream: while the store was slow, its
+event may have been passed on before the batch that names it was written."""
 UNKNOWN_RETRY_SECONDS = 0.5
 
 STORE_UNREADABLE = Reason(
@@ -73,9 +78,15 @@
         loops = (self._records.run, self._journal.run)
         return [asyncio.create_task(run_with_restarts(loop)) for loop in loops]
 
-    def note_begun(self, job: Job, version: str) -> None:
-        """Record that a stream's first event has come from a version."""
+    async def begin(self, job: Job, version: str) -> None:
+        """Record that a stream's first event has come from a version.
+
+        Return once its caller may get the event. A stream that is taken up
+        has been recorded before.
+        """
         self._journal.note_begun(job.stream_id, job.service, version)
+        if not job.last_event_id:
+            await self._journal.wait_written(job.stream_id)
 
     async def find(self, job: Job) -> str | Refusal:
         """Return the version of a stream that a caller takes up."""
@@ -83,7 +94,7 @@
         for _ in range(1, LOOKUPS):
             if isinstance(found, str) or found is STORE_UNREADABLE:
                 break
-            await asyncio.sleep(self._journal.batch_seconds)
+            await asyncio.sleep(self._journal.batch_seconds + PATIENCE_SECONDS)
             found = await self._look_up(job)
         if isinstance(found, str):
             return found
@@ -171,7 +182,7 @@
 
 
 def open_stream_versions(
-    host: str,
+    cfg: ServingSettings,
     store: PlatformStore,
     directory: Directory,
     catalog: Callable[[], Catalog | None],
@@ -183,5 +194,6 @@
     records = VersionRecords(
         store, directory, partial(resumable_services, catalog), clock, log
     )
-    journal = StreamJournal(host, store, clock, records.need_journal, hosts)
+    pace = JournalSettings(cfg.host, cfg.journal_writes, hosts)
+    journal = StreamJournal(pace, store, clock, records.need_journal)
     return SharedStreamVersions(directory, records, journal)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -257,6 +257,42 @@
     run_with_fleet(steps)
 
 
+def test_stream_is_journalled_before_its_caller_gets_an_event() -> None:
+    """Short streams of a killed router couldn't be taken up by their callers."""
+
+    async def steps(fleet: Fleet) -> None:
+        await add_stalling_engines(fleet)
+        for number in range(STREAMS):
+            _, version = await begin_stream(fleet, f'r{number}')
+            assert f'r{number}' in journalled(fleet, version)
+
+    run_with_fleet(steps)
+
+
+@pytest.mark.parametrize('trouble', ['silent', 'refuse_with'])
+def test_first_event_does_not_wait_for_a_store_that_is_away(
+    trouble: str,
+) -> None:
+    """A silent store would hold every new stream back until its deadline."""
+
+    async def steps(fleet: Fleet) -> None:
+        await add_stalling_engines(fleet)
+        setattr(fleet.store, trouble, 503)
+        for number in range(2):
+            await begin_stream(fleet, f'r{number}')
+        assert not journalled(fleet, 'v1') | journalled(fleet, 'v2')
+
+    run_with_fleet(steps)
+
+
+async def add_stalling_engines(fleet: Fleet) -> None:
+    """Add two endpoints, one of each version, at which streams may begin."""
+    for version in ('v1', 'v2'):
+        engine = stalling_engine_of(version)
+        await fleet.add_engine(f'i-{version}', 'llm', engine, version=version)
+    await wait_until(lambda: knows_versions(fleet, {'v1', 'v2'}))
+
+
 def journalled(fleet: Fleet, version: str) -> set[str]:
     """Return the streams that were ever journalled with a version."""
     batches = (
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,14 +5,20 @@
 from dataclasses import replace
 
 import pytest
+from support import run
 from support_platform import StoreStandIn
 from support_routed import wait_until
 from support_serving_jobs import ENGINE, endpoints_of, job_of
+from support_store import FakeStore
 
 from sesamespoke.platform.kv_store import KvStore
 from sesamespoke.serving.directory import Directory, Listing
 from sesamespoke.serving.job import Job
-from sesamespoke.serving.stream_journal import JOURNAL_PREFIX, StreamJournal
+from sesamespoke.serving.stream_journal import (
+    JOURNAL_PREFIX,
+    JournalSettings,
+    StreamJournal,
+)
 from sesamespoke.serving.stream_versions import SharedStreamVersions
 from sesamespoke.serving.version_records import (
     ACTIVATION_SECONDS,
@@ -27,6 +33,7 @@
 SERVICE = ENGINE.name
 VERSION_HISTORY_RETAIN = 'sesamespoke.serving.version_history.RETAIN_SECONDS'
 STREAMS = 40
+WRITES_PER_SECOND = 5.0
 TIMEOUT_SECONDS = 20
 
 
@@ -46,7 +53,10 @@
             lambda event, /, **_: self.logged.append(event),
         )
         self.journal = StreamJournal(
-            host, self.client, clock, self.records.need_journal, lambda: 2
+            JournalSettings(host, WRITES_PER_SECOND, lambda: 2),
+            self.client,
+            clock,
+            self.records.need_journal,
         )
         self.versions = SharedStreamVersions(
             self.directory, self.records, self.journal
@@ -73,7 +83,7 @@
     def begin(self, stream_id: str, version: str) -> None:
         assert version in self.usable_versions()
         job = replace(job_of('a'), request_id=stream_id)
-        self.versions.note_begun(job, version)
+        self.journal.note_begun(job.stream_id, job.service, version)
 
     async def find(self, stream_id: str) -> str | None:
         found = await self.versions.find(taken_up(stream_id))
@@ -335,6 +345,29 @@
     return known.active if known else frozenset()
 
 
+def test_journal_keeps_its_rate_while_streams_begin_all_the_time() -> None:
+    """A write for each new stream would use up what the store takes."""
+    hosts, streams, gap = 10, 1000, 0.01
+
+    async def steps() -> None:
+        store = FakeStore()
+        loop = asyncio.get_running_loop()
+        cfg = JournalSettings('h', 100, lambda: hosts)
+        journal = StreamJournal(cfg, store, loop.time, lambda service: True)
+        task = asyncio.create_task(journal.run())
+        for number in range(streams):
+            journal.note_begun(f's{number}', SERVICE, 'v1')
+            waits = asyncio.create_task(journal.wait_written(f's{number}'))
+            await asyncio.sleep(gap)
+        await waits
+        assert not journal._unwritten
+        writes = streams * gap * cfg.writes_per_second / hosts
+        assert store.calls <= writes + 2
+        task.cancel()
+
+    run(steps())
+
+
 async def recorded(router: Router) -> ServiceVersions:
     found = await router.records.read(SERVICE)
     assert isinstance(found, ServiceVersions)
@@ -394,7 +427,7 @@
 def test_take_up_that_names_no_stream_tells_nothing_of_another() -> None:
     async def steps(store: StoreStandIn) -> None:
         router = await start(store, 'v1', 'v2')
-        router.versions.note_begun(taken_up(''), 'v2')
+        await router.versions.begin(taken_up(''), 'v2')
         assert await router.find('') is None
         router.kill()
 
