Take a closed connection as an answer's end only if it isn't reset afterwards

Cause: at the end of what came the event loop closed the connection by itself, and nobody saw the reset.

Change: the connection stays open for sending. An answer that ends with its connection is whole once the kernel has sent the whole request and the connection has not failed. Streams without framing take the same path.

--- a/src/sesamespoke/endpoint_connections.py
+++ b/src/sesamespoke/endpoint_connections.py
@@ -6,8 +6,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import ssl
+import struct
+import termios
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -24,6 +27,8 @@
 FINAL_FROM = 200
 HTTP_PORT = 80
 HTTPS_PORT = 443
+SENT_CHECK_SECONDS = 0.01
+"""Interval at which the kernel is asked what it has still to send."""
 
 Sink = Callable[[bytes], bool]
 
@@ -62,6 +67,8 @@
         self._sink: Sink | None = None
         self._progress_at: float = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._has_ended = False
+        self._is_idle = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -96,6 +103,16 @@
             self._sink = None
             self._wake(by_sink=True)
 
+    def eof_received(self) -> bool:
+        """Let the reader see the end; return whether to go on sending.
+
+        What is still being sent tells whether the endpoint takes it: it may
+        reset the connection after the end of its answer.
+        """
+        self._has_ended = True
+        self._wake()
+        return not (self._is_idle or self._is_encrypted)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Let the reader see the end."""
         self.was_reset = exc is not None
@@ -109,7 +126,7 @@
 
     async def read(self) -> bytes:
         """Return the next bytes, or none once the connection is closed."""
-        while not self._buf and self._transport is not None:
+        while not self._buf and self._is_open:
             self._waiter = self._loop.create_future()
             await self._waiter
         return self._take_buffered()
@@ -130,7 +147,7 @@
         content = self._take_buffered()
         if content and not sink(content):
             return True
-        if self._transport is None:
+        if not self._is_open:
             return False
         self.mark_progress()
         with contextlib.ExitStack() as stack:
@@ -141,6 +158,16 @@
             self._watch_silence(waiter, silence)
             return await waiter
 
+    async def wait_sent(self) -> bool:
+        """Wait until the peer has received all that was sent.
+
+        Returns False if the connection is reset before. Only the caller's
+        time-out ends the wait for a peer that does neither.
+        """
+        while self._count_unsent() and not self._has_failed():
+            await asyncio.sleep(SENT_CHECK_SECONDS)
+        return not self._has_failed()
+
     def mark_progress(self) -> None:
         """Note that what came was more than a part of something."""
         self._progress_at = self._loop.time()
@@ -166,11 +193,17 @@
     def rest_idle(self) -> bool:
         """Note the time; return whether the connection is usable."""
         self.idle_since = self._loop.time()
+        self._is_idle = True
         return self.is_usable()
 
+    def reuse(self) -> None:
+        """Take the connection out of the idle ones for another request."""
+        self.reused = True
+        self._is_idle = False
+
     def is_usable(self) -> bool:
         """Return whether nothing came since the connection fell idle."""
-        if self._transport is None or self._buf:
+        if self._buf or not self._is_open:
             return False
         return self._loop.time() - self.idle_since < self.max_idle
 
@@ -180,10 +213,41 @@
             self._transport.abort()
             self._transport = None
 
+    @property
+    def _is_open(self) -> bool:
+        """Return whether more may come."""
+        return self._transport is not None and not self._has_ended
+
+    @property
+    def _is_encrypted(self) -> bool:
+        return bool(
+            self._transport and self._transport.get_extra_info('sslcontext')
+        )
+
+    def _has_failed(self) -> bool:
+        """Return whether the connection has been reset.
+
+        After the end of what comes, the event loop doesn't read any more and
+        sees a reset only when it writes.
+        """
+        if self._transport is not None:
+            sock = self._transport.get_extra_info('socket')
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            self.was_reset = self.was_reset or bool(error)
+        return self.was_reset
+
+    def _count_unsent(self) -> int:
+        """Return how many bytes the peer's kernel has not acknowledged."""
+        if self._transport is None:
+            return 0
+        buffered = self._transport.get_write_buffer_size()
+        sock = self._transport.get_extra_info('socket')
+        return buffered or _count_unacknowledged(sock.fileno())
+
     def _take_buffered(self) -> bytes:
         content = self._buf
         self._buf = b''
-        if self._transport is not None:
+        if self._is_open and self._transport is not None:
             self._transport.resume_reading()
         return content
 
@@ -233,7 +297,7 @@
         while idle and not fresh:
             conn = idle.pop()
             if conn.is_usable():
-                conn.reused = True
+                conn.reuse()
                 return conn
             conn.close()
         return await self._open(url)
@@ -276,6 +340,16 @@
         return conn
 
 
+def _count_unacknowledged(descriptor: int) -> int:
+    """Return what a socket has still to send; 0 where that can't be told."""
+    number = struct.pack('i', 0)
+    try:
+        raw = fcntl.ioctl(descriptor, termios.TIOCOUTQ, number)
+    except OSError:
+        return 0
+    return int(struct.unpack('i', raw)[0])
+
+
 def _check_cut(buf: bytes) -> None:
     if buf:
         raise FramingError('the head is cut')
--- a/src/sesamespoke/serving/exchange.py
+++ b/src/sesamespoke/serving/exchange.py
@@ -277,7 +277,7 @@
         while not body.finished:
             content = await conn.read()
             if not content:
-                _end_by_close(conn, body)
+                await _end_by_close(conn, body)
                 break
             payload = body.feed(content)
             size += len(payload)
@@ -300,7 +300,7 @@
             is_open = await self._pump(conn, sink)
             await self._pass_first_events(head)
             if not is_open:
-                _end_by_close(conn, body)
+                await _end_by_close(conn, body)
             await self._reply.drain()
             if self._relay.overflowing:
                 raise Failure(BAD_ANSWER, 'the stream is no stream of events')
@@ -459,9 +459,14 @@
 _MAX_WAIT_SECONDS = 3600.0
 
 
-def _end_by_close(conn: Connection, body: BodyReader) -> None:
-    """Accept a closed connection as the end of a body without other framing."""
-    if conn.was_reset or not body.end_by_close():
+async def _end_by_close(conn: Connection, body: BodyReader) -> None:
+    """Accept a closed connection as the end of a body without other framing.
+
+    An endpoint that resets the connection has broken off, also where it does
+    so while the request is still being sent.
+    """
+    is_end = body.unframed and await conn.wait_sent()
+    if not (is_end and body.end_by_close()):
         raise Failure(ENDPOINT_FAILED, 'the answer is cut', broke=True)
 
 
