Refuse answers whose status is none

Cause: any number of three digits was a status, and one under 200 an interim answer, after which the next one was awaited.

Change: a status outside 100 to 599 is no answer, and neither is 101, which nobody asked for. The attempt fails at once, so that the caller gets a 502, or another try where the request may be repeated.

--- a/src/sesamespoke/endpoint_connections.py
+++ b/src/sesamespoke/endpoint_connections.py
@@ -29,6 +29,7 @@
 HTTPS_PORT = 443
 SENT_CHECK_SECONDS = 0.01
 """Interval at which the kernel is asked what it has still to send."""
+SWITCHING_PROTOCOLS = 101
 
 Sink = Callable[[bytes], bool]
 
@@ -185,6 +186,8 @@
                 buf += content
                 parts = split_head(buf)
             head, buf = parts
+            if head.status == SWITCHING_PROTOCOLS:
+                raise FramingError('nobody asked for another protocol')
             if head.status >= FINAL_FROM:
                 self._buf = buf + self._buf
                 return head
--- a/src/sesamespoke/framing.py
+++ b/src/sesamespoke/framing.py
@@ -22,6 +22,8 @@
 """Framing that a body may have beyond as many bytes as its payload. Tiny chunks
 and endless trailers take long to read."""
 HEX = 16
+MIN_STATUS = 100
+MAX_STATUS = 599
 CRLF = b'\r\n'
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -73,6 +75,8 @@
         headers = HTTPHeaders.parse(lines)
     except HTTPInputError as exc:
         raise FramingError('the head cannot be read') from exc
+    if not MIN_STATUS <= status <= MAX_STATUS:
+        raise FramingError(f'{status} is no status')
     length = headers.get('Content-Length')
     if length is not None and not is_count(length):
         raise FramingError('the length of the body cannot be read')
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,4 +1,4 @@
-"""Answers that come while the request is still being written."""
+"""Answers that come while the request is still being written, and non-answers."""
 
 import asyncio
 import contextlib
@@ -10,7 +10,9 @@
 import pytest
 from support_platform import (
     CONFIG,
+    ReceivedRequest,
     Writer,
+    full_response,
     server_entry,
 )
 from support_routed import Fleet, Response, run_with_fleet, wait_until
@@ -132,3 +134,23 @@
         assert (answered.status, answered.body) == (200, PART)
 
     run_with_fleet(steps)
+
+
+@pytest.mark.parametrize('status', ['000', '099', '600', '999', '101'])
+def test_status_that_is_none_is_refused_at_once(status: str) -> None:
+    """A caller got 600 as an answer, and waited for its deadline after 000."""
+    deadline_ms = 60_000
+
+    async def serve(asked: ReceivedRequest, writer: Writer) -> None:
+        content = full_response(asked, b'fine')
+        writer.write(content.replace(b' 200 ', f' {status} '.encode(), 1))
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'desk', serve)
+        caller = await fleet.connect()
+        answered = await caller.request(
+            '/l/book/1', f'Deadline-Ms: {deadline_ms}'
+        )
+        assert answered.status == 502
+
+    run_with_fleet(steps)
