--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -157,6 +157,7 @@
             'waiting': self.waiting,
             'account_waiting': len(self._queues.get(account, ())),
             'account_tokens': round(self._shares.used(account)),
+            'account_asked': round(self._shares.asked(account)),
             'account_share': round(self._shares.fair_share() or 0),
             'account_room': round(self._shares.utilisation_limit(account), 2),
         }
--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -24,6 +24,7 @@
     place_generation,
     rank_endpoints,
 )
+from sesamespoke.serving.service_view import ServiceViews
 
 MS_PER_SECOND = 1000
 MAX_LIST_AGE_SECONDS = 3600.0
@@ -96,6 +97,9 @@
         self._unlisted: dict[str, _Unlisted] = {}
         self._rankings: dict[tuple[str, str], tuple[str, ...]] = {}
         self._data_centre = data_centre
+        self._views = ServiceViews(
+            clock, lambda service: self._candidates(service, frozenset())
+        )
         directory.listeners.append(self._drop_gone)
 
     def reserve(
@@ -130,6 +134,19 @@
             and self._place(job, 1, service, avoided) is not None
         )
 
+    def describe_service(self, name: str) -> dict[str, object]:
+        """Return log fields: how the endpoints of a service look from here."""
+        catalog = self._catalog()
+        service = catalog.services.get(name) if catalog else None
+        if service is None:
+            return {}
+        view = self._views.get(service)
+        return {
+            'usable': view.usable,
+            'least_used': round(view.least_used, 2),
+            'slowdown': round(view.slowdown, 2),
+        }
+
     def describe_view(self) -> dict[str, object]:
         """Return log fields: version and age of the data behind a choice."""
         catalog = self._catalog()
--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -147,6 +147,10 @@
         """Return an account's usage in tokens, decayed to now."""
         return self._usage.amount(account)
 
+    def asked(self, account: str) -> float:
+        """Return what an account has asked for in tokens, decayed to now."""
+        return self._demand.amount(account)
+
     def add_demand(self, account: str, cost: float) -> None:
         """Add to the demand of an account."""
         self._demand.add(account, cost)
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -545,6 +545,7 @@
             **self._deps.admission_queue(job.service).log_fields(job.account),
             **self._placement,
             **self._deps.chooser.describe_view(),
+            **self._deps.chooser.describe_service(job.service),
             **fields,
         )
 
