Serve an account whose callers reach one host as those at all hosts are

Change: an account that gets clearly less than it is owed may use endpoints up to 1.4 of their limit, and its requests are tried once before they are refused for a full queue. A retry may use as much as a new request of its account.

--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -124,18 +124,20 @@
         """
         if not is_retry:
             self._record_request(job)
-        if is_retry or job.account not in self._queues:
+        max_wait = job.route.objective * MAX_WAIT_FRACTION
+        may_wait = is_retry or not self._exceeds_wait(job, max_wait)
+        # Those that wait may need endpoints that are full, and this one not.
+        is_last_chance = not may_wait and self._shares.is_short(job.account)
+        if is_retry or is_last_chance or job.account not in self._queues:
             grant = reserve(
                 job, self._utilisation_limit(job, is_retry=is_retry)
             )
             if grant is not None:
                 self._record_grant(job)
                 return grant
-        max_wait = job.route.objective * MAX_WAIT_FRACTION
         queued_at = self._clock() if is_retry else job.arrived_at
         expires_at = min(queued_at + max_wait, job.deadline)
-        too_late = not is_retry and self._exceeds_wait(job, max_wait)
-        if too_late or self._clock() >= expires_at:
+        if not may_wait or self._clock() >= expires_at:
             return self.refuse()
         waiter = _Waiter(
             job,
@@ -223,7 +225,8 @@
         )
 
     def _utilisation_limit(self, job: Job, *, is_retry: bool) -> float:
-        return 1 if is_retry else self._shares.utilisation_limit(job.account)
+        limit = self._shares.utilisation_limit(job.account)
+        return max(1, limit) if is_retry else limit
 
     def _grant_one(self, account: str, max_tries: int) -> tuple[bool, int]:
         """Grant an account's most urgent request that can be placed.
--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -44,6 +44,16 @@
 MAX_BALANCE = 2.5
 """Largest factor on the limit of an account that gets less than its part. It
 raises the lowest limit to all of an endpoint."""
+TRAILING_FRACTION = 0.6
+"""Part of what the best served account gets that is owed to each account which
+asks for as much. Half of it is what accounts are promised."""
+MAX_SHORT_LIMIT = 1.4
+"""Largest utilisation limit of an account that is short. More would make the
+requests of all others at an endpoint late."""
+SHORT_FRACTION = 0.2
+"""Part of an even share by which an account has to get less than it is owed, so
+that it counts as short. Accounts that ask for little are served at the limit
+of 1, and their single requests tell nothing."""
 MIN_REPORTED_TOKENS = 1.0
 """Amounts that have decayed to less are not reported to other data centres."""
 
@@ -141,6 +151,7 @@
         self._peak: tuple[float, float] = (0, 0)
         self._share: float = math.inf
         self._even_share: float = math.inf
+        self._most_used: float = 0
         self._share_expires_at: float = 0
 
     def used(self, account: str) -> float:
@@ -200,17 +211,41 @@
 
         The limit follows from the stated capacity. Engines do more or less
         than that, so that accounts far apart may have the same limit; among
-        them, the one that gets less of what is done now may go further.
+        them, the one that gets less of what is done now may go further. One
+        that asks for more than it gets, and is owed it, may go beyond 1: this
+        router may take endpoints to be fuller than others do.
         """
         limit = self._capacity_limit(account)
         even = self._even_share * EVEN_USAGE_FACTOR
-        if math.isinf(max(even, self._share)) or not even:
+        if math.isinf(even) or not even:
+            return limit
+        used = max(1, self.used(account))
+        balance = even / used
+        if self.is_short(account):
+            return min(MAX_SHORT_LIMIT, (self._owed(account) / used) ** 2)
+        if math.isinf(self._share):
             return limit
-        balance = even / max(1, self.used(account))
         if balance < 1:
             return min(limit, max(MIN_UTILISATION_LIMIT, balance))
-        raised = limit * min(MAX_BALANCE, balance * balance)
-        return min(1, raised)
+        return min(1, limit * min(MAX_BALANCE, balance * balance))
+
+    def is_short(self, account: str) -> bool:
+        """Return whether an account gets clearly less than it is owed."""
+        lacks = self._owed(account) - self.used(account)
+        return lacks > self._even_share * SHORT_FRACTION
+
+    def _owed(self, account: str) -> float:
+        """Return what an account should have got of what is done now.
+
+        That is what it asks for, up to its even share and to a part of what
+        the best served account gets; 0 while all demand is met.
+        """
+        self._current_share()
+        if math.isinf(self._even_share):
+            return 0
+        even = self._even_share * EVEN_USAGE_FACTOR
+        part = max(even, self._most_used * TRAILING_FRACTION)
+        return min(part, self.asked(account))
 
     def _capacity_limit(self, account: str) -> float:
         """Return the limit of an account whose share is of the capacity."""
@@ -235,9 +270,11 @@
         if now >= self._share_expires_at:
             self._share_expires_at = now + FAIR_SHARE_TTL_SECONDS
             demands = tuple(self._demand.amounts().values())
-            done = sum(self._usage.amounts().values()) * HEADROOM_FACTOR
+            usages = tuple(self._usage.amounts().values())
+            done = sum(usages) * HEADROOM_FACTOR
             self._share = find_level(demands, self._estimate_capacity())
             self._even_share = find_level(demands, done)
+            self._most_used = max(usages, default=0)
         return self._share
 
     def _estimate_capacity(self) -> float:
