--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -153,12 +153,6 @@
             self._discard(waiter)
             raise
 
-    def take_back(self, job: Job) -> None:
-        """Count a granted request as not served: its attempt has not run."""
-        cost = cost_of(job)
-        self._shares.add_usage(job.account, -cost)
-        self.on_grant(job.account, -cost)
-
     def log_fields(self, account: str) -> dict[str, object]:
         """Return the state that decides on an account's turn, as log fields."""
         return {
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -223,8 +223,6 @@
                 self._proof.cancel()
             deps.chooser.release(reservation)
             deps.admission_queue(job.service).schedule_soon()
-        if attempt.verdict is Verdict.NOT_RUN:
-            deps.admission_queue(job.service).take_back(job)
         self._record_attempt(reservation, exchange, attempt)
         step = self._decide_next(exchange, attempt)
         if not (attempt.passed_on or attempt.verdict is Verdict.RAN):
