--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -153,14 +153,17 @@
             self._discard(waiter)
             raise
 
-    def log_fields(self, account: str) -> dict[str, object]:
-        """Return the state that decides on an account's turn, as log fields."""
+    def log_fields(self, job: Job) -> dict[str, object]:
+        """Return what decides on a request's turn, as log fields."""
+        account = job.account
         return {
+            'tokens': round(cost_of(job)),
             'waiting': self.waiting,
             'account_waiting': len(self._queues.get(account, ())),
             'account_tokens': round(self._shares.used(account)),
             'account_asked': round(self._shares.asked(account)),
             'account_share': round(self._shares.fair_share() or 0),
+            'account_even': round(self._shares.even_share() or 0),
             'account_room': round(self._shares.utilisation_limit(account), 2),
         }
 
--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -264,6 +264,11 @@
         share = self._current_share()
         return None if math.isinf(share) else share
 
+    def even_share(self) -> float | None:
+        """Return the fair share of what is done now, or None without limit."""
+        self._current_share()
+        return None if math.isinf(self._even_share) else self._even_share
+
     def _current_share(self) -> float:
         """Return the max-min fair share; infinity if all demand can be met."""
         now = self._clock()
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -542,7 +542,7 @@
             sends=progress.sends,
             verdict=progress.verdict.value,
             ms=math.floor(seconds * 1000),
-            **self._deps.admission_queue(job.service).log_fields(job.account),
+            **self._deps.admission_queue(job.service).log_fields(job),
             **self._placement,
             **self._deps.chooser.describe_view(),
             **self._deps.chooser.describe_service(job.service),
