Show that the best served account may use endpoints beyond their limit

The test states amounts like those of the trace and fails: the account with the most usage is short of its even part, 1.4 against 1.0.

--- a/tests/test_serving_admission.py
+++ b/tests/test_serving_admission.py
@@ -327,6 +327,19 @@
     assert shares.utilisation_limit('far') == 1
 
 
+def test_best_served_account_may_use_endpoints_beyond_their_limit() -> None:
+    """The even part of few large accounts is far above what each of them gets."""
+    shares = FairShares(Clock(), lambda: 1_400_000)
+    rows = [('best', 4_400_000, 2_900_000), ('second', 1_280_000, 1_200_000)]
+    rows += [(f'other-{n}', 400_000, 560_000) for n in range(5)]
+    for account, demand, usage in rows:
+        shares.add_demand(account, demand)
+        shares.add_usage(account, usage)
+    assert not shares.is_short('best')
+    best, second = map(shares.utilisation_limit, ('best', 'second'))
+    assert best <= second
+
+
 def test_request_is_tried_before_it_is_refused_for_a_full_queue() -> None:
     """Twelve that waited for full endpoints kept an account from free ones.
 
