Owe no account more than the best served one gets

Cause: the even part of what is done now is found by filling up to demand. With few accounts that ask for more than they get, and with engines that crash so that requests are charged several times, it lies far above what each of them gets. The account with the most usage then counted as short of its part and was let use endpoints to 1.4 of their limit; what it filled beyond 1 was closed to all others.

Change: an account is owed at most what the best served account gets. That account itself is never short.

--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -237,15 +237,16 @@
     def _owed(self, account: str) -> float:
         """Return what an account should have got of what is done now.
 
-        That is what it asks for, up to its even share and to a part of what
-        the best served account gets; 0 while all demand is met.
+        That is what it asks for, up to its even share or to a part of what the
+        best served account gets, but not beyond what that account gets; 0
+        while all demand is met.
         """
         self._current_share()
         if math.isinf(self._even_share):
             return 0
         even = self._even_share * EVEN_USAGE_FACTOR
         part = max(even, self._most_used * TRAILING_FRACTION)
-        return min(part, self.asked(account))
+        return min(part, self._most_used, self.asked(account))
 
     def _capacity_limit(self, account: str) -> float:
         """Return the limit of an account whose share is of the capacity."""
