Keep a request that no endpoint ran within its account's limit

Cause: an endpoint that has gone looks idle until it is listed no more, so that each request tries it first, also those of accounts that are held to little-used endpoints. Requests that an endpoint refuses or sends back as another's are the same class: a way round a limit by an attempt that cost nothing.

Change: only a request that may have run, or goes on with a stream, is a retry. One that no endpoint ran waits anew, as before, and keeps the limit and the turn of its account.

--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -115,27 +115,30 @@
         reserve: Reserve[GrantT],
         *,
         is_retry: bool = False,
+        was_tried: bool = False,
     ) -> GrantT | Refusal:
         """Return a grant as soon as capacity is free, or a refusal.
 
-        A retry has waited before, and part of its answer may have been
-        delivered. Its waiting time starts anew, it is queued however many
-        requests wait, comes before the new ones and may use all capacity.
+        A request that ``was_tried`` has waited before: its waiting time starts
+        anew, and it is queued however many requests wait. If it may have run,
+        it is also a retry. Part of the answer may have been delivered, so that
+        it comes before the new requests and may use all capacity.
         """
-        if not is_retry:
+        was_tried = was_tried or is_retry
+        if not was_tried:
             self._record_request(job)
         max_wait = job.route.objective * MAX_WAIT_FRACTION
-        may_wait = is_retry or not self._exceeds_wait(job, max_wait)
+        may_wait = was_tried or not self._exceeds_wait(job, max_wait)
         # Those that wait may need endpoints that are full, and this one not.
         is_last_chance = not may_wait and self._shares.is_short(job.account)
-        if is_retry or is_last_chance or job.account not in self._queues:
+        if was_tried or is_last_chance or job.account not in self._queues:
             grant = reserve(
                 job, self._utilisation_limit(job, is_retry=is_retry)
             )
             if grant is not None:
                 self._record_grant(job)
                 return grant
-        queued_at = self._clock() if is_retry else job.arrived_at
+        queued_at = self._clock() if was_tried else job.arrived_at
         expires_at = min(queued_at + max_wait, job.deadline)
         if not may_wait or self._clock() >= expires_at:
             return self.refuse()
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -70,7 +70,10 @@
 
 @dataclass(slots=True)
 class _Progress:
-    """The combined result of a request's attempts so far."""
+    """The combined result of a request's attempts so far.
+
+    ``sends`` counts all attempts, ``runs`` those that may have run.
+    """
 
     verdict: Verdict = Verdict.NOT_RUN
     sends: int = 0
@@ -147,7 +150,8 @@
             reservation = await queue.admit(
                 job,
                 self._reserve,
-                is_retry=progress.sends > 0 or self._bound_version is not None,
+                is_retry=progress.runs > 0 or self._bound_version is not None,
+                was_tried=progress.sends > 0,
             )
             if isinstance(reservation, Refusal):
                 return self._finish(reservation)
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 from dataclasses import replace
+from unittest import mock
 
 import pytest
 import structlog
@@ -32,6 +33,7 @@
 
 from sesamespoke.request_server import KEPT_FRACTION
 from sesamespoke.serving.directory import Directory
+from sesamespoke.serving.fairness import FairShares
 from sesamespoke.serving.host_registration import HOST_PREFIX
 from sesamespoke.serving.loop_lag import HIGH_DELAY_SAMPLES, HIGH_DELAY_SECONDS
 
@@ -276,6 +278,33 @@
     run_with_fleet(steps)
 
 
+@pytest.mark.parametrize('refuse', [None, shed, misdirect])
+def test_request_that_no_engine_ran_goes_beyond_its_accounts_limit(
+    refuse: RequestHandler | None,
+) -> None:
+    """Engines that have gone look idle and lifted requests over the limit."""
+
+    async def steps(fleet: Fleet) -> None:
+        engine = await fleet.add_engine('i-1', 'desk', refuse or respond_ok)
+        if refuse is None:
+            engine.stop()
+        with (
+            mock.patch.object(FairShares, 'utilisation_limit') as limit,
+            mock.patch.object(
+                fleet.router.chooser,
+                'reserve',
+                wraps=fleet.router.chooser.reserve,
+            ) as reserve,
+        ):
+            limit.return_value = 0.5
+            response = await (await fleet.connect()).request('/l/book/1')
+        assert response.status == 503
+        limits = {call.args[1] for call in reserve.call_args_list}
+        assert limits == {0.5}
+
+    run_with_fleet(steps)
+
+
 def test_engine_error_is_relayed_when_all_attempts_failed() -> None:
     async def fail(asked: ReceivedRequest, writer: Writer) -> None:
         writer.write(full_response(asked, b'sorry', 500))
