Show that wide crowds and one idle caller fill a router's memory

Clients that the operators don't control ended a process: it ran out of memory. The crowds of test_client_crowds held before, since they are narrow and no other connection is idle beside them.

New, with a memory of 100 MB: 450 clients that send bodies at the same time, in large chunks, in a single one, in tiny ones, in pieces, and far over the limit, announced or just sent; and the old crowd of 60 beside one idle caller.

--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -1,8 +1,9 @@
-"""Crowds of clients that stop short of a body's end, at a real process.
+"""Crowds of clients with large or unfinished bodies, at a real process.
 
 Each test starts the router as the platform does, with low limits, and lets a
-crowd hold bodies of legal size open. The process must live, its memory and its
-descriptors stay under their limits, and an ordinary caller get its answer.
+crowd hold bodies open, or send more than is allowed. The process must live,
+its memory and its descriptors stay under their limits, and an ordinary caller
+get its answer.
 """
 
 import asyncio
@@ -36,6 +37,11 @@
 """Of these, how many send their body to its end."""
 CONNECTIONS = 120
 """Clients of a crowd that holds descriptors; a router takes 80 of them."""
+WIDE_FILE_DESCRIPTORS = 1000
+WIDE_CROWD = 450
+"""Clients that all send at the same time; a router takes 500 of them."""
+WIDE_TINY_CHUNKS = 4000
+OVERSIZED_BYTES = 4 * MAX_BODY_BYTES
 TINY_CHUNK = b'2\r\nab\r\n'
 TINY_BODIES = 32
 TINY_CHUNKS = 60_000
@@ -43,6 +49,7 @@
 CROWD_SECONDS = 40
 """Time after which clients stop that the router reads too slowly."""
 ANSWER_SECONDS = 20
+IDLE_SECONDS = 1.5
 SETTLE_SECONDS = 1.0
 KIB_PER_MB = 1024
 
@@ -174,6 +181,57 @@
         await writer.drain()
 
 
+async def send_one_chunk(writer: asyncio.StreamWriter, ends: bool) -> None:
+    """Send a body of the largest size in a single chunk."""
+    writer.write(head_of('Transfer-Encoding: chunked'))
+    writer.write(b'%x\r\n' % MAX_BODY_BYTES)
+    await write_pieces(writer, MAX_BODY_BYTES - HELD_BACK_BYTES)
+    if ends:
+        writer.write(bytes(HELD_BACK_BYTES) + b'\r\n0\r\n\r\n')
+        await writer.drain()
+
+
+async def send_few_tiny_chunks(
+    writer: asyncio.StreamWriter, ends: bool
+) -> None:
+    """Begin a body in chunks of two bytes and stop inside of one."""
+    writer.write(head_of('Transfer-Encoding: chunked'))
+    writer.write(TINY_CHUNK * WIDE_TINY_CHUNKS + TINY_CHUNK[:-1])
+    await writer.drain()
+
+
+async def announce_too_much(writer: asyncio.StreamWriter, ends: bool) -> None:
+    """Announce a body far over the limit, and send it all the same."""
+    writer.write(head_of(f'Content-Length: {OVERSIZED_BYTES}'))
+    await write_pieces(writer, OVERSIZED_BYTES)
+
+
+async def send_too_many_chunks(
+    writer: asyncio.StreamWriter, ends: bool
+) -> None:
+    """Send a body far over the limit in large chunks."""
+    writer.write(head_of('Transfer-Encoding: chunked'))
+    for _ in range(OVERSIZED_BYTES // PIECE_BYTES):
+        writer.write(b'%x\r\n%b\r\n' % (PIECE_BYTES, bytes(PIECE_BYTES)))
+        await writer.drain()
+
+
+async def send_too_large_chunk(
+    writer: asyncio.StreamWriter, ends: bool
+) -> None:
+    """Send a body far over the limit in a single chunk."""
+    writer.write(head_of('Transfer-Encoding: chunked'))
+    writer.write(b'%x\r\n' % OVERSIZED_BYTES)
+    await write_pieces(writer, OVERSIZED_BYTES)
+
+
+async def write_pieces(writer: asyncio.StreamWriter, size: int) -> None:
+    """Write bytes as fast as the router takes them."""
+    for start in range(0, size, PIECE_BYTES):
+        writer.write(bytes(min(PIECE_BYTES, size - start)))
+        await writer.drain()
+
+
 async def send_little(writer: asyncio.StreamWriter, ends: bool) -> None:
     """Begin a small body and stop."""
     writer.write(head_of('Content-Length: 100') + b'begin')
@@ -185,7 +243,9 @@
 
 
 @asynccontextmanager
-async def open_router(folder: Path) -> AsyncIterator[RouterProcess]:
+async def open_router(
+    folder: Path, file_descriptors: int = FILE_DESCRIPTORS
+) -> AsyncIterator[RouterProcess]:
     """Start a router with a store and an engine, as the platform does."""
     store, engine = StoreStandIn(), EngineStandIn(serve)
     config = {**CONFIG, 'limits': {'max_body_bytes': MAX_BODY_BYTES}}
@@ -204,7 +264,7 @@
         SETTINGS.format(
             ports=ports,
             memory=MEMORY_MB,
-            descriptors=FILE_DESCRIPTORS,
+            descriptors=file_descriptors,
             store=address,
         )
     )
@@ -248,6 +308,25 @@
         task.cancel()
 
 
+async def outlast(
+    folder: Path,
+    file_descriptors: int,
+    client: Client,
+    count: int,
+    whole: int,
+) -> None:
+    """Check that a router outlasts a crowd, and then answers a caller."""
+    async with open_router(folder, file_descriptors) as router:
+        await gather_crowd(router, client, count, whole)
+        await router.settle()
+        assert router.process.returncode is None
+        assert router.peak_memory_mb() <= MEMORY_MB
+        assert router.descriptors() <= file_descriptors
+        async with asyncio.timeout(ANSWER_SECONDS):
+            await router.ask()
+        assert router.process.returncode is None
+
+
 @pytest.mark.parametrize(
     ('client', 'count', 'whole'),
     [
@@ -261,16 +340,43 @@
 def test_crowd_of_unfinished_bodies_fills_the_router(
     client: Client, count: int, whole: int, tmp_path: Path
 ) -> None:
+    asyncio.run(outlast(tmp_path, FILE_DESCRIPTORS, client, count, whole))
+
+
+@pytest.mark.parametrize(
+    ('client', 'whole'),
+    [
+        (send_chunks, WHOLE_BODIES),
+        (send_one_chunk, WHOLE_BODIES),
+        (send_few_tiny_chunks, 0),
+        (send_pieces, WHOLE_BODIES),
+        (announce_too_much, 0),
+        (send_too_many_chunks, 0),
+        (send_too_large_chunk, 0),
+    ],
+)
+def test_bodies_of_a_wide_crowd_fill_the_router(
+    client: Client, whole: int, tmp_path: Path
+) -> None:
+    """What hundreds of connections have sent at once was counted too late."""
+    asyncio.run(
+        outlast(tmp_path, WIDE_FILE_DESCRIPTORS, client, WIDE_CROWD, whole)
+    )
+
+
+def test_idle_caller_keeps_a_crowd_from_being_refused(tmp_path: Path) -> None:
+    """Bodies were refused only down to the first connection without any."""
+
     async def steps() -> None:
         async with open_router(tmp_path) as router:
-            await gather_crowd(router, client, count, whole)
+            await router.connect()
+            await asyncio.sleep(IDLE_SECONDS)
+            await gather_crowd(router, send_pieces, BODIES, 0)
             await router.settle()
             assert router.process.returncode is None
             assert router.peak_memory_mb() <= MEMORY_MB
-            assert router.descriptors() <= FILE_DESCRIPTORS
             async with asyncio.timeout(ANSWER_SECONDS):
                 await router.ask()
-            assert router.process.returncode is None
 
     asyncio.run(steps())
 
