Refuse bodies also while another connection is idle

What callers saw: clients that nobody controls ended a process, which ran out of memory, though all request bodies together have a limit.

Cause: where the limit is reached, bodies that still arrive are refused, stalled ones first and then the largest. Connections that wait for a request hold no bytes and were in the same order. One idle for a second came first among the stalled, and the pass ended at the first one without bytes. A single idle caller kept every body from being refused.

Change: only connections that hold bytes are ranked.

--- a/src/sesamespoke/body_memory.py
+++ b/src/sesamespoke/body_memory.py
@@ -152,14 +152,14 @@
         """Refuse arriving bodies until the low mark is reached."""
         stalled_since = self._clock() - STALLED_SECONDS
         ranked = sorted(
-            self._arriving.items(),
+            (row for row in self._arriving.items() if row[1].size),
             key=lambda row: (
                 row[1].progressed_at > stalled_since,
                 -row[1].size,
             ),
         )
-        for reader, arrival in ranked:
-            if self.held <= limit * LOW_MARK or not arrival.size:
+        for reader, _ in ranked:
+            if self.held <= limit * LOW_MARK:
                 return
             self._drop(reader)
 
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -45,6 +45,19 @@
     assert memory.held <= LIMIT * LOW_MARK + 1000
 
 
+def test_idle_connection_keeps_bodies_from_being_refused() -> None:
+    """An idle caller came first among those that give up, and ended the pass."""
+    clock = Clock()
+    memory = BodyMemory(LIMIT, clock)
+    idle = Reader()
+    memory.begin(idle)
+    clock.now += STALLED_SECONDS * 2
+    bodies = arrive(memory, *[MAX_SIZE] * 20)
+    assert any(reader.gave_up for reader in bodies)
+    assert memory.held <= LIMIT
+    assert not idle.gave_up
+
+
 def test_small_body_is_kept_among_large_ones() -> None:
     memory = BodyMemory(LIMIT, Clock())
     (small,) = arrive(memory, 1000)
