Log whose attempt failed, how long attempts took and the objective

Cause: lines did not tell when an attempt began, so that what an account got in a second could only be guessed. attempt_failed named no account: whoever added up attempts answered with 500 needed another line, which may be dropped. Whether a request was late needed the configuration. Change: attempt_failed tells account and tokens; it and the lines on a request's end tell took_ms, the latter objective_ms. No decision changes. Result: the test failed before.

--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -23,8 +23,12 @@
     decide_retry,
     worse_verdict,
 )
-from sesamespoke.serving.admission import NO_ROOM
-from sesamespoke.serving.call_log import placement_fields, refusal_fields
+from sesamespoke.serving.admission import NO_ROOM, cost_of
+from sesamespoke.serving.call_log import (
+    duration_fields,
+    placement_fields,
+    refusal_fields,
+)
 from sesamespoke.serving.chooser import Reservation
 from sesamespoke.serving.directory import ListedEndpoint
 from sesamespoke.serving.exchange import Exchange
@@ -108,6 +112,7 @@
         self._relay = EventRelay()
         self._progress = _Progress()
         self._placement: dict[str, object] = {}
+        self._duration: dict[str, object] = {}
         self._payment = RetryReservation(deps.retry_budget(job.service))
         self._loop = asyncio.get_running_loop()
         self._proof: asyncio.TimerHandle | None = None
@@ -220,6 +225,7 @@
         except asyncio.CancelledError:
             self._note_unanswered(reservation, exchange)
             deps.crash_tracker.end_attempt(job)
+            self._note_duration(exchange)
             self._log_end('caller_left', None)
             raise
         finally:
@@ -227,6 +233,7 @@
                 self._proof.cancel()
             deps.chooser.release(reservation)
             deps.admission_queue(job.service).schedule_soon()
+        self._note_duration(exchange)
         self._record_attempt(reservation, exchange, attempt)
         step = self._decide_next(exchange, attempt)
         if not (attempt.passed_on or attempt.verdict is Verdict.RAN):
@@ -246,6 +253,10 @@
             on_rate_limit=partial(self._note_rate_limit, endpoint),
         )
 
+    def _note_duration(self, exchange: Exchange) -> None:
+        """Note for the log how long the attempt took."""
+        self._duration = duration_fields(exchange.sent_at, self._loop.time())
+
     def _note_unanswered(
         self, reservation: Reservation, exchange: Exchange
     ) -> None:
@@ -470,6 +481,8 @@
         deps.log(
             'attempt_failed',
             request_id=job.request_id,
+            account=job.account,
+            tokens=round(cost_of(job)),
             service=job.service,
             endpoint=reservation.endpoint.name,
             software=reservation.endpoint.version,
@@ -483,6 +496,7 @@
             parts=[part.name for part in job.prompt.parts],
             expected_ms=round(reservation.placement.expected_ms),
             next=step.value,
+            **self._duration,
             **budget.standing(),
             **deps.chooser.describe_view(),
         )
@@ -546,8 +560,10 @@
             sends=progress.sends,
             verdict=progress.verdict.value,
             ms=math.floor(seconds * 1000),
+            objective_ms=round(job.route.objective * MS_PER_SECOND),
             **self._deps.admission_queue(job.service).log_fields(job),
             **self._placement,
+            **self._duration,
             **self._deps.chooser.describe_view(),
             **self._deps.chooser.describe_service(job.service),
             **fields,
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -660,6 +660,41 @@
     run_with_fleet(steps)
 
 
+def test_lines_tell_what_an_account_got_and_when() -> None:
+    """The account of an attempt was only on a line that may be dropped."""
+    delay_ms = 100
+
+    async def fail_late(asked: ReceivedRequest, writer: Writer) -> None:
+        await asyncio.sleep(delay_ms / 1000)
+        writer.write(head_bytes(asked, 500, 'Content-Length: 0'))
+
+    async def stream_late(asked: ReceivedRequest, writer: Writer) -> None:
+        await asyncio.sleep(delay_ms / 1000)
+        await stream_events(asked, writer)
+
+    async def steps(fleet: Fleet) -> None:
+        engine = await fleet.add_engine('i-1', 'llm', fail_late)
+        caller = await fleet.connect()
+        row = 'Token-Counts: 600,50'
+        with structlog.testing.capture_logs() as lines:
+            assert (await caller.request('/s/1', row)).status == 500
+            engine.handler = stream_late
+            response = await caller.request('/s/1', row, request_id='r2')
+            assert response.status == 200
+        by_event = {line['event']: line for line in lines}
+        failed = by_event['attempt_failed']
+        answered = by_event['request_answered']
+        served = by_event['request_served']
+        assert failed['account'] == answered['account'] == 'acme'
+        assert failed['tokens'] == answered['tokens'] == 700
+        for line in (failed, answered, served):
+            assert delay_ms <= line['took_ms'] <= answered['ms'] + served['ms']
+        assert served['took_ms'] <= served['ms']
+        assert served['objective_ms'] == answered['objective_ms'] > 0
+
+    run_with_fleet(steps)
+
+
 def test_resending_on_a_new_connection_is_logged() -> None:
     async def answer_then_close(asked: ReceivedRequest, writer: Writer) -> None:
         if asked.line.endswith('/l/1 HTTP/1.1'):
