--- a/src/sesamespoke/cli.py
+++ b/src/sesamespoke/cli.py
@@ -11,6 +11,7 @@
         'config': 'sesamespoke.cli_config:config',
         'data-centre': 'sesamespoke.cli_data_centre:data_centre',
         'demo': 'sesamespoke.cli_demo:demo',
+        'fairness': 'sesamespoke.cli_fairness:fairness',
         'platform-router': 'sesamespoke.platform.main:platform_router',
         'router': 'sesamespoke.cli_router:router',
         'stand-in': 'sesamespoke.cli_stand_ins:stand_in',
