Count only what ran as an account's usage

Cause: usage is charged when a request is placed, again for each attempt, and stayed charged where no connection could be opened or the endpoint refused.

Result: test_attempts_that_never_ran_do_not_count_as_usage failed before (1,006 tokens after an attempt that reached nothing).

--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -156,6 +156,15 @@
             self._discard(waiter)
             raise
 
+    def take_back(self, job: Job, granted_at: float) -> None:
+        """Count a granted request as not served: its attempt has not run.
+
+        ``granted_at`` is a time of this queue's clock.
+        """
+        age = self._clock() - granted_at
+        left = self._shares.take_back_usage(job.account, cost_of(job), age)
+        self.on_grant(job.account, -left)
+
     def log_fields(self, job: Job) -> dict[str, object]:
         """Return what decides on a request's turn, as log fields."""
         account = job.account
--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -170,6 +170,15 @@
         """Add to the usage of an account."""
         self._usage.add(account, cost)
 
+    def take_back_usage(self, account: str, cost: float, age: float) -> float:
+        """Take back usage that was added ``age`` seconds ago.
+
+        Returns what is left of it, which is taken off the account's usage.
+        """
+        left = cost * _decay(age)
+        self._usage.add(account, -left)
+        return left
+
     def data_centre_rows(self, data_centre: str) -> tuple[AccountRow, ...]:
         """Return the recent demand and usage in this data centre."""
         demand = self._demand.local_and_reported(data_centre)
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -205,6 +205,7 @@
     ) -> tuple[Attempt, RetryDecision]:
         """Run one attempt at the reserved endpoint."""
         deps, job = self._deps, self._job
+        granted_at = self._loop.time()
         self._relay.restart()
         self._placement = placement_fields(reservation)
         exchange = Exchange(
@@ -234,6 +235,8 @@
             deps.chooser.release(reservation)
             deps.admission_queue(job.service).schedule_soon()
         self._note_duration(exchange)
+        if attempt.verdict is Verdict.NOT_RUN:
+            deps.admission_queue(job.service).take_back(job, granted_at)
         self._record_attempt(reservation, exchange, attempt)
         step = self._decide_next(exchange, attempt)
         if not (attempt.passed_on or attempt.verdict is Verdict.RAN):
--- a/tests/support_fleet_model.py
+++ b/tests/support_fleet_model.py
@@ -274,7 +274,9 @@
             self.errors += 1
         else:
             attempt = await self.generate(job, host, grant)
-        if attempt.verdict is not Verdict.NOT_RUN:
+        if attempt.verdict is Verdict.NOT_RUN:
+            host.queue.take_back(job, granted_at)
+        else:
             cost = round(cost_of(job))
             self.got[job.account][int(granted_at)] += cost
         host.chooser.release(grant)
--- a/tests/test_routed_router.py
+++ b/tests/test_routed_router.py
@@ -727,3 +727,19 @@
         ]
 
     run_with_fleet(steps)
+
+
+def test_attempts_that_never_ran_do_not_count_as_usage() -> None:
+    """Accounts whose requests met dead engines seemed to get several shares."""
+
+    async def steps(fleet: Fleet) -> None:
+        await fleet.add_engine('i-1', 'llm', stream_events)
+        fleet.engines['i-1'].crash()
+        caller = await fleet.connect()
+        answered = await caller.request('/s/1', 'Token-Counts: 900,80')
+        assert answered.status == 503
+        shares = fleet.router._loads.shares
+        assert shares.asked('acme') > 0
+        assert shares.used('acme') == pytest.approx(0, abs=1)
+
+    run_with_fleet(steps)
