Leave endpoints alone that answer errors where others don't

Cause: a whole answer of 5xx never pauses its endpoint, which looks idle since it fails at once, and each host learns by itself.

Change: hosts add up one another's sound and failed answers by endpoint and incarnation, decayed over 5 s. An endpoint with errors that the others don't have (Wald's sequential test) is ejected for 1 s, then twice as long after each failed trial, up to 8 s. At most 3 in 10 of a service's endpoints are ejected. Reports are sent only about errors, and about sound answers of an endpoint that is accused.

--- a/src/sesamespoke/codec.py
+++ b/src/sesamespoke/codec.py
@@ -74,6 +74,8 @@
         47: routing_messages.ConfigCopy,
         56: routing_messages.RolloutAnswers,
         57: routing_messages.RolloutStage,
+        58: routing_messages.EndpointAnswers,
+        59: routing_messages.EndpointTrial,
         50: crash_messages.EndpointCrash,
         51: crash_messages.PartsCleared,
         52: crash_messages.PartsTrial,
--- a/src/sesamespoke/routing_messages.py
+++ b/src/sesamespoke/routing_messages.py
@@ -135,8 +135,35 @@
     age_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointAnswers:
+    """Answers of endpoints to one router's requests since its last report.
+
+    ``number`` grows with each report of a host. ``rows``: endpoint,
+    incarnation, cause of the errors, errors, sound answers; both are decayed
+    to the time of the report (``serving.outlier_evidence``).
+    """
+
+    number: int
+    rows: tuple[tuple[str, int, int, float, float], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointTrial:
+    """How an ejected incarnation of an endpoint has answered a trial.
+
+    ``number`` counts the pauses of its ejection.
+    """
+
+    endpoint: str
+    born: int
+    number: int
+    is_sound: bool
+
+
 ConfigMessage = OperatorEntries | ConfigRequest | ConfigCopy
 RolloutMessage = RolloutAnswers | RolloutStage
+OutlierMessage = EndpointAnswers | EndpointTrial
 RoutingMessage = (
     RouterLoads
     | SiteLoads
@@ -145,5 +172,6 @@
     | EndpointLimit
     | ConfigMessage
     | RolloutMessage
+    | OutlierMessage
     | CrashMessage
 )
--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -16,6 +16,7 @@
 from sesamespoke.serving.job import Job
 from sesamespoke.serving.load import InFlightRequest, LoadTracker
 from sesamespoke.serving.named_limits import NamedLimits
+from sesamespoke.serving.outlier_detection import OutlierDetector
 from sesamespoke.serving.placement import (
     Candidate,
     Placement,
@@ -87,6 +88,7 @@
         """Start without any load; ``data_centre`` is the one of this host."""
         self.loads = LoadTracker(clock)
         self.health = Health(clock)
+        self.outliers = OutlierDetector(clock, directory)
         self.backoff = EndpointBackoff(clock)
         self.limits = NamedLimits(clock)
         self.rate_limiter = EndpointRateLimiter(host, clock, hosts)
@@ -123,6 +125,7 @@
         if rate < math.inf:
             self.rate_limiter.note_sent(endpoint.name, rate)
         self.backoff.begin(endpoint.name)
+        self.outliers.begin(endpoint.name)
         in_flight = self.loads.begin(endpoint.name, placement.prefill_ms)
         return Reservation(placement, in_flight)
 
@@ -253,7 +256,7 @@
             endpoint = self._directory.endpoints[name]
             if name in avoided or not self._accepts_work(service, endpoint):
                 continue
-            if not self.health.is_paused(name):
+            if not self._is_paused(name):
                 return self._candidate(endpoint)
             fallback = fallback or endpoint
         return None if fallback is None else self._candidate(fallback)
@@ -270,7 +273,7 @@
         names = frozenset(random.choices(ranked, k=SAMPLE_SIZE)) - avoided
         for name in names:
             endpoint = self._directory.endpoints[name]
-            if self.health.is_paused(name):
+            if self._is_paused(name):
                 continue
             if self._accepts_work(service, endpoint):
                 yield self._candidate(endpoint)
@@ -290,7 +293,7 @@
         now = self._clock()
         for name in ranked[:HOLDER_CANDIDATES]:
             endpoint = self._directory.endpoints[name]
-            if endpoint == placement.endpoint or self.health.is_paused(name):
+            if endpoint == placement.endpoint or self._is_paused(name):
                 continue
             if now - self._listed[name].listed_at >= MIN_HOLDER_SECONDS:
                 return endpoint
@@ -315,7 +318,7 @@
         healthy = [
             endpoint
             for endpoint in allowed
-            if not self.health.is_paused(endpoint.name)
+            if not self._is_paused(endpoint.name)
         ]
         return [self._candidate(endpoint) for endpoint in healthy or allowed]
 
@@ -327,6 +330,9 @@
             endpoint.data_centre != self._data_centre,
         )
 
+    def _is_paused(self, name: str) -> bool:
+        return self.health.is_paused(name) or self.outliers.is_ejected(name)
+
     def _accepts_work(
         self,
         service: RoutedService,
@@ -388,6 +394,7 @@
     def _drop(self, name: str, born: int | None = None) -> None:
         """Drop the state of an endpoint, except that of a new incarnation."""
         self.health.drop(name)
+        self.outliers.drop(name)
         self.backoff.drop(name)
         self.rate_limiter.drop(name)
         self.limits.drop(name, born)
--- a/src/sesamespoke/serving/router.py
+++ b/src/sesamespoke/serving/router.py
@@ -15,7 +15,7 @@
     SharedCrashTracker,
 )
 from sesamespoke.serving.directory import Directory
-from sesamespoke.serving.endpoint_notices import share_endpoint_notices
+from sesamespoke.serving.endpoint_notices import EndpointNotices
 from sesamespoke.serving.exchange import ExchangeContext, HeaderNames
 from sesamespoke.serving.fleet_size import FleetSize
 from sesamespoke.serving.graceful_shutdown import GracefulShutdown
@@ -122,6 +122,13 @@
             ),
         )
         self.platform_sync.on_rollout = self._rollouts.apply
+        self._notices = EndpointNotices(
+            self.peers,
+            self.directory,
+            self.chooser,
+            self.metrics,
+            log.info,
+        )
         serving = ServingDependencies(
             ExchangeContext(self.pool, names),
             self.chooser,
@@ -130,13 +137,7 @@
             self._crash_tracker,
             self._stream_versions,
             self._rollouts.allowed,
-            share_endpoint_notices(
-                self.peers,
-                self.directory,
-                self.chooser.limits,
-                self.metrics,
-                log.info,
-            ),
+            self._notices.note_leaving,
             self.metrics,
             log.info,
         )
@@ -192,6 +193,7 @@
             *self._loads.start_tasks(),
             *self._stream_versions.start_tasks(),
             *self._rollouts.start_tasks(),
+            *self._notices.start_tasks(),
             asyncio.create_task(self.pressure.run()),
             asyncio.create_task(self._crash_tracker.keep_records()),
         ]
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -240,7 +240,7 @@
             may_resend=lambda: self._may_resend(reservation),
             may_fail_over=lambda: self._may_fail_over(reservation),
             on_first_byte=lambda: self._note_first_byte(reservation),
-            before_first_event=partial(self._begin_stream, endpoint.version),
+            before_first_event=partial(self._begin_stream, endpoint),
             on_leaving=lambda: self._deps.note_leaving(endpoint),
             on_backoff=partial(self._note_backoff, endpoint),
             on_rate_limit=partial(self._note_rate_limit, endpoint),
@@ -281,14 +281,15 @@
                 PROOF_SECONDS, tracker.clear, job, self._loop.time()
             )
 
-    async def _begin_stream(self, version: str) -> None:
+    async def _begin_stream(self, endpoint: ListedEndpoint) -> None:
         """Bind the stream to the version whose event its caller gets.
 
         An attempt that failed before its first event binds it to none.
         """
+        self._deps.chooser.outliers.note_sound(endpoint, self._job)
         if self._job.route.resumable:
-            self._version = version
-            await self._deps.stream_versions.begin(self._job, version)
+            self._version = endpoint.version
+            await self._deps.stream_versions.begin(self._job, endpoint.version)
 
     def _note_backoff(self, endpoint: ListedEndpoint, seconds: float) -> None:
         """Send nothing to an endpoint for as long as it asks."""
@@ -402,6 +403,7 @@
                 request_id=self._job.request_id,
                 why=attempt.detail,
             )
+        deps.chooser.outliers.note_attempt(endpoint, self._job, attempt)
         deps.rollouts.note_answer(
             self._job,
             reservation.placement,
