Admit of each account what is within one level of the fleet

Under one limit on how full endpoints may look, 2 to 5 requests a second began at each host, whatever waited there, so that an account got in proportion to its hosts.

Cause: the utilisation of endpoints, as one host sees it, was the only handle on accounts' shares.

Change: the amount is controlled. The level is the max-min fair share of what the endpoints do now, in usage up to demand over the last second, in place of four. A request of an account that asks for more is within the level with the probability level / asked at every host alike (core-stateless fair queueing). One beyond it is tried at endpoints less than two fifths used and refused at once otherwise, with the reason over_share. The same random number holds for all attempts of a request, so that none that no endpoint ran gets round it. An account claims at most four times what it gets. Limits on utilisation stay, in proportion to what an account gets of its share. Calls without tokens take nothing from the level.

--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -4,10 +4,11 @@
 of it from a few accounts. Engines admit requests in order of arrival, so an
 engine that is sent all of it is late for every account. Requests therefore
 queue here for at most a fraction of their objective, and the account with the
-least recent usage is scheduled first. A request that can't be served in that
-time is rejected at once, with a retry time that matches the expected wait. A
-scheduling pass delays other work on the event loop, so each pass tries a
-bounded number of requests.
+least recent usage is scheduled first. Of an account that asks for more than
+the fleet's level, only the part within it may queue (see ``fairness``). A
+request that can't be served in that time is rejected at once, with a retry time
+that matches the expected wait. A scheduling pass delays other work on the event
+loop, so each pass tries a bounded number of requests.
 """
 
 import asyncio
@@ -18,7 +19,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from sesamespoke.serving.fairness import FairShares
+from sesamespoke.serving.fairness import MIN_UTILISATION_LIMIT, FairShares
 from sesamespoke.serving.job import Job
 from sesamespoke.verdicts import Reason, Refusal, Verdict
 
@@ -55,6 +56,13 @@
     'no endpoint can take the request in time',
 )
 
+OVER_SHARE = Reason(
+    'over_share',
+    503,
+    'server_error',
+    'the account is beyond its share, and no endpoint is little used',
+)
+
 GrantT = TypeVar('GrantT')
 Reserve = Callable[[Job, float], GrantT | None]
 
@@ -116,9 +124,13 @@
         *,
         is_retry: bool = False,
         was_tried: bool = False,
+        rank: float = 0,
     ) -> GrantT | Refusal:
         """Return a grant as soon as capacity is free, or a refusal.
 
+        ``rank`` is a random number from 0 to 1, the same for all attempts of a
+        request: those of low rank are within their account's part of the work.
+
         A request that ``was_tried`` has waited before: its waiting time starts
         anew, and it is queued however many requests wait. If it may have run,
         it is also a retry. Part of the answer may have been delivered, so that
@@ -127,6 +139,8 @@
         was_tried = was_tried or is_retry
         if not was_tried:
             self._record_request(job)
+        if not self._is_within_level(job, rank):
+            return self._admit_beyond_level(job, reserve)
         max_wait = job.route.objective * MAX_WAIT_FRACTION
         may_wait = was_tried or not self._exceeds_wait(job, max_wait)
         # Those that wait may need endpoints that are full, and this one not.
@@ -165,6 +179,24 @@
         left = self._shares.take_back_usage(job.account, cost_of(job), age)
         self.on_grant(job.account, -left)
 
+    def _is_within_level(self, job: Job, rank: float) -> bool:
+        """Return whether a request is within its account's part of the work.
+
+        The level is one of tokens; a call without any takes nothing from it.
+        """
+        part = self._shares.admitted_part(job.account)
+        return rank < part or not job.prompt.input_tokens
+
+    def _admit_beyond_level(
+        self, job: Job, reserve: Reserve[GrantT]
+    ) -> GrantT | Refusal:
+        """Return a grant if an endpoint is little used, or a refusal."""
+        grant = reserve(job, MIN_UTILISATION_LIMIT)
+        if grant is None:
+            return self.refuse(OVER_SHARE)
+        self._record_grant(job)
+        return grant
+
     def log_fields(self, job: Job) -> dict[str, object]:
         """Return what decides on a request's turn, as log fields."""
         account = job.account
@@ -175,16 +207,17 @@
             'account_tokens': round(self._shares.used(account)),
             'account_asked': round(self._shares.asked(account)),
             'account_share': round(self._shares.fair_share() or 0),
-            'account_even': round(self._shares.even_share() or 0),
+            'account_even': round(self._shares.level() or 0),
+            'account_part': round(self._shares.admitted_part(account), 2),
             'account_room': round(self._shares.utilisation_limit(account), 2),
         }
 
-    def refuse(self) -> Refusal:
+    def refuse(self, reason: Reason = NO_ROOM) -> Refusal:
         """Return a refusal with the time after which to retry."""
         wait = (self.waiting + 1) / self._rate()
         wait = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
         jitter = random.uniform(1 - RETRY_AFTER_JITTER, 1 + RETRY_AFTER_JITTER)
-        return Refusal(NO_ROOM, Verdict.NOT_RUN, retry_after=wait * jitter)
+        return Refusal(reason, Verdict.NOT_RUN, retry_after=wait * jitter)
 
     def refuse_all(self, refuse: Callable[[], Refusal]) -> None:
         """Refuse every waiting request, each with a refusal of its own."""
--- a/src/sesamespoke/serving/fairness.py
+++ b/src/sesamespoke/serving/fairness.py
@@ -1,33 +1,35 @@
-"""Max-min fair shares of the accounts, enforced by utilisation limits.
+"""Max-min fair shares of the accounts, enforced where requests are admitted.
 
 This is designed for accounts that demand more than their share, one of them
-through a single router and another through all of them. Every router uses
-whatever capacity it sees, so the second account would get several times as
-much as the first. An account's share is its max-min fair share of what the
-endpoints can do. Accounts near or above their share may use each endpoint only
-up to a lower utilisation; the rest of its capacity is reserved for accounts
-with less usage. The stated capacity may be far from what is done, so that
-accounts which get very different amounts stand alike; these are balanced by
-what they get. Nothing else is restricted: idle endpoints serve every account,
-however far it is above its share.
-
-Reserving capacity in this way is trunk reservation, as in Key, "Optimal
-control and trunk reservation in loss networks", Probability in the
-Engineering and Informational Sciences, 1990.
+through a single router and another through all of them, while endpoints crash
+or fail. The quantity that is controlled is the amount that an account begins.
+There is one level for the fleet: the max-min fair share of what the endpoints
+do now. Of an account that demands more, each router admits the part that is
+within the level, so that its routers together begin that amount, however many
+they are. What is beyond the level uses endpoints only while they are little
+used. No router keeps a state for this, and none has to agree with another.
+
+Utilisation limits remain beside it. They guard endpoints, and correct an
+account that gets more or less than it is owed, in proportion.
+
+Sources: Stoica, Shenker and Zhang, "Core-stateless fair queueing", SIGCOMM
+1998 (the part of each flow that is within the fair rate); Key, "Optimal
+control and trunk reservation in loss networks", Probability in the Engineering
+and Informational Sciences, 1990 (the utilisation limits).
 """
 
 import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-USAGE_DECAY_SECONDS = 4.0
+USAGE_DECAY_SECONDS = 1.0
 """Time constant with which past usage decays (to 1/e). It is the window over
-which the usage of accounts is compared."""
+which accounts are compared. Usage of a longer past would be made up for by
+seconds in which an account gets nothing."""
 FAIR_SHARE_TTL_SECONDS = 0.1
 """Lifetime of a computed share; reports arrive about as often."""
-HEADROOM_FACTOR = 1.1
-"""Estimated capacity, as a multiple of recent usage. Engines that restart or
-slow down do less than their stated capacity."""
+HEADROOM_FACTOR = 1.2
+"""Estimated capacity, as a multiple of recent usage, so that usage can grow."""
 MIN_CAPACITY_FRACTION = 0.6
 """Lower bound of the estimated capacity, as a fraction of the stated one."""
 PEAK_DECAY_SECONDS = 30.0
@@ -37,22 +39,21 @@
 """Utilisation limit of an account whose usage equals its share. The limit is
 inversely proportional to the usage, and at most 1."""
 MIN_UTILISATION_LIMIT = 0.4
-"""Utilisation limit that applies to every account at least."""
-EVEN_USAGE_FACTOR = 0.9
-"""Usage of an account that gets its part of what is done now, as a multiple
-of its share of the usage with ``HEADROOM_FACTOR``."""
-MAX_BALANCE = 2.5
-"""Largest factor on the limit of an account that gets less than its part. It
-raises the lowest limit to all of an endpoint."""
-TRAILING_FRACTION = 0.6
-"""Part of what the best served account gets that is owed to each account which
-asks for as much. Half of it is what accounts are promised."""
+"""Utilisation limit that applies to every account at least, and to requests
+beyond the level."""
 MAX_SHORT_LIMIT = 1.4
-"""Largest utilisation limit of an account that is short. More would make the
-requests of all others at an endpoint late."""
+"""Largest utilisation limit of an account that is short: its router may take
+endpoints to be fuller than others do. More would make the requests of all
+others at an endpoint late."""
+MAX_CLAIM_FACTOR = 4.0
+"""An account claims at most this multiple of its usage from the level. What is
+kept for an account that can't be served at all would idle."""
+FAIR_USAGE_FACTOR = 0.95
+"""Usage up to which an account is not limited, as a multiple of its fair share
+of what is done now. What is left above is for accounts with less."""
 SHORT_FRACTION = 0.2
-"""Part of an even share by which an account has to get less than it is owed, so
-that it counts as short. Accounts that ask for little are served at the limit
+"""Part of the fair share by which an account has to get less than it is owed,
+so that it counts as short. Accounts that ask for little are served at the limit
 of 1, and their single requests tell nothing."""
 MIN_REPORTED_TOKENS = 1.0
 """Amounts that have decayed to less are not reported to other data centres."""
@@ -150,8 +151,7 @@
         self._usage = _DecayingAmounts(clock)
         self._peak: tuple[float, float] = (0, 0)
         self._share: float = math.inf
-        self._even_share: float = math.inf
-        self._most_used: float = 0
+        self._level: float = math.inf
         self._share_expires_at: float = 0
 
     def used(self, account: str) -> float:
@@ -215,58 +215,59 @@
         self._demand.replace(data_centre, at, demand)
         self._usage.replace(data_centre, at, usage)
 
+    def admitted_part(self, account: str) -> float:
+        """Return the part of an account's requests within the level, 0 to 1."""
+        asked = self.asked(account)
+        if asked <= self._current_level():
+            return 1
+        return self._level / asked
+
     def utilisation_limit(self, account: str) -> float:
         """Return the utilisation of endpoints up to which an account may go.
 
-        The limit follows from the stated capacity. Engines do more or less
-        than that, so that accounts far apart may have the same limit; among
-        them, the one that gets less of what is done now may go further. One
-        that asks for more than it gets, and is owed it, may go beyond 1: this
-        router may take endpoints to be fuller than others do.
+        The limit that follows from the stated capacity is corrected by what
+        the account gets of its fair share of what is done now.
         """
         limit = self._capacity_limit(account)
-        even = self._even_share * EVEN_USAGE_FACTOR
-        if math.isinf(even) or not even:
-            return limit
-        used = max(1, self.used(account))
-        balance = even / used
-        if self.is_short(account):
-            return min(MAX_SHORT_LIMIT, (self._owed(account) / used) ** 2)
-        if math.isinf(self._share):
-            return limit
+        got = max(1, self._got(account))
+        balance = (self._fair() * FAIR_USAGE_FACTOR / got) ** 2
         if balance < 1:
+            if math.isinf(self._share):
+                return limit
             return min(limit, max(MIN_UTILISATION_LIMIT, balance))
-        return min(1, limit * min(MAX_BALANCE, balance * balance))
+        top = MAX_SHORT_LIMIT if self.is_short(account) else 1
+        return min(top, limit * balance)
 
     def is_short(self, account: str) -> bool:
         """Return whether an account gets clearly less than it is owed."""
-        lacks = self._owed(account) - self.used(account)
-        return lacks > self._even_share * SHORT_FRACTION
+        lacks = self._owed(account) - self._got(account)
+        return lacks > self._fair() * SHORT_FRACTION
 
     def _owed(self, account: str) -> float:
-        """Return what an account should have got of what is done now.
+        """Return what an account asks for, up to its fair share."""
+        return min(self.asked(account), self._fair())
+
+    def _fair(self) -> float:
+        """Return the fair share of what is done now, without headroom."""
+        return self._current_level() / HEADROOM_FACTOR
 
-        That is what it asks for, up to its even share or to a part of what the
-        best served account gets, but not beyond what that account gets; 0
-        while all demand is met.
+    def _got(self, account: str) -> float:
+        """Return an account's usage, up to what it has asked for.
+
+        A request that is sent several times is charged as often.
         """
-        self._current_share()
-        if math.isinf(self._even_share):
-            return 0
-        even = self._even_share * EVEN_USAGE_FACTOR
-        part = max(even, self._most_used * TRAILING_FRACTION)
-        return min(part, self._most_used, self.asked(account))
+        return max(0, min(self.used(account), self.asked(account)))
 
     def _capacity_limit(self, account: str) -> float:
         """Return the limit of an account whose share is of the capacity."""
         share = self._current_share()
         if math.isinf(share):
             return 1
-        used = self.used(account)
-        if used <= share * UTILISATION_LIMIT_AT_SHARE:
+        got = self._got(account)
+        if got <= share * UTILISATION_LIMIT_AT_SHARE:
             return 1
         return max(
-            MIN_UTILISATION_LIMIT, UTILISATION_LIMIT_AT_SHARE * share / used
+            MIN_UTILISATION_LIMIT, UTILISATION_LIMIT_AT_SHARE * share / got
         )
 
     def fair_share(self) -> float | None:
@@ -274,33 +275,45 @@
         share = self._current_share()
         return None if math.isinf(share) else share
 
-    def even_share(self) -> float | None:
+    def level(self) -> float | None:
         """Return the fair share of what is done now, or None without limit."""
-        self._current_share()
-        return None if math.isinf(self._even_share) else self._even_share
+        level = self._current_level()
+        return None if math.isinf(level) else level
 
     def _current_share(self) -> float:
         """Return the max-min fair share; infinity if all demand can be met."""
-        now = self._clock()
-        if now >= self._share_expires_at:
-            self._share_expires_at = now + FAIR_SHARE_TTL_SECONDS
-            demands = tuple(self._demand.amounts().values())
-            usages = tuple(self._usage.amounts().values())
-            done = sum(usages) * HEADROOM_FACTOR
-            self._share = find_level(demands, self._estimate_capacity())
-            self._even_share = find_level(demands, done)
-            self._most_used = max(usages, default=0)
+        self._refresh()
         return self._share
 
-    def _estimate_capacity(self) -> float:
+    def _current_level(self) -> float:
+        """Return the level; infinity if nearly all demand is met."""
+        self._refresh()
+        return self._level
+
+    def _refresh(self) -> None:
+        """Compute share and level anew, unless they are recent."""
+        now = self._clock()
+        if now < self._share_expires_at:
+            return
+        self._share_expires_at = now + FAIR_SHARE_TTL_SECONDS
+        demand = self._demand.amounts()
+        got = {account: self._got(account) for account in demand}
+        done = HEADROOM_FACTOR * sum(got.values())
+        self._share = find_level(demand.values(), self._estimate_capacity(done))
+        claims = (
+            min(asked, got[account] * MAX_CLAIM_FACTOR)
+            for account, asked in demand.items()
+        )
+        self._level = find_level(claims, done)
+
+    def _estimate_capacity(self, done: float) -> float:
         """Return the estimated capacity, in units of the decayed amounts."""
-        recent = sum(self._usage.amounts().values()) * HEADROOM_FACTOR
         stated = self._capacity() * USAGE_DECAY_SECONDS
         if stated:
-            return min(stated, max(stated * MIN_CAPACITY_FRACTION, recent))
+            return min(stated, max(stated * MIN_CAPACITY_FRACTION, done))
         now = self._clock()
         peak, at = self._peak
-        peak = max(recent, peak * math.exp((at - now) / PEAK_DECAY_SECONDS))
+        peak = max(done, peak * math.exp((at - now) / PEAK_DECAY_SECONDS))
         self._peak = (peak, now)
         return peak
 
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -117,6 +117,7 @@
         self._loop = asyncio.get_running_loop()
         self._proof: asyncio.TimerHandle | None = None
         self._version: str | None = None
+        self._rank = random.random()
 
     async def serve(self) -> Answer | Refusal | None:
         """Return the final response, or None if it was relayed in full."""
@@ -131,7 +132,6 @@
 
     async def _serve(self) -> Answer | Refusal | None:
         job, progress = self._job, self._progress
-        queue = self._deps.admission_queue(job.service)
         while True:
             blocked_for = self._deps.crash_tracker.seconds_blocked(job)
             if blocked_for:
@@ -152,12 +152,7 @@
             )
             if unavailable_for:
                 return self._finish(_refuse_for(unavailable_for))
-            reservation = await queue.admit(
-                job,
-                self._reserve,
-                is_retry=progress.runs > 0 or self._bound_version is not None,
-                was_tried=progress.sends > 0,
-            )
+            reservation = await self._admit()
             if isinstance(reservation, Refusal):
                 return self._finish(reservation)
             attempt, step = await self._run_attempt(reservation)
@@ -170,6 +165,18 @@
                 return self._finish(self._response_after(attempt))
             progress.excluded.add(reservation.endpoint.name)
 
+    async def _admit(self) -> Reservation | Refusal:
+        """Wait for capacity; a stream that goes on is within any share."""
+        job, progress = self._job, self._progress
+        goes_on = self._bound_version is not None
+        return await self._deps.admission_queue(job.service).admit(
+            job,
+            self._reserve,
+            is_retry=progress.runs > 0 or goes_on,
+            was_tried=progress.sends > 0,
+            rank=0 if goes_on else self._rank,
+        )
+
     @property
     def _bound_version(self) -> str | None:
         """Return the version at which the caller's events were made, if any."""
@@ -393,11 +400,9 @@
             job.route.resumable and bool(attempt.last_id),
         )
         left = job.deadline - self._loop.time()
-        return decide_retry(situation, left, self._budget_for(exchange))
-
-    def _budget_for(self, exchange: Exchange) -> RetryReservation | _NoCharge:
-        """Return the budget that the next attempt is charged to."""
-        return self._payment if exchange.sent else _NoCharge()
+        return decide_retry(
+            situation, left, _budget_after(exchange, self._payment)
+        )
 
     def _record_attempt(
         self,
@@ -476,7 +481,7 @@
     ) -> None:
         """Log an attempt that gave no usable response, and what follows."""
         deps, job = self._deps, self._job
-        budget = self._budget_for(exchange)
+        budget = _budget_after(exchange, self._payment)
         deps.metrics.count(
             'retry_decisions',
             service=job.service,
@@ -575,6 +580,13 @@
         )
 
 
+def _budget_after(
+    exchange: Exchange, payment: RetryReservation
+) -> RetryReservation | _NoCharge:
+    """Return the budget that the attempt after this one is charged to."""
+    return payment if exchange.sent else _NoCharge()
+
+
 def _refuse_for(seconds: float) -> Refusal:
     """Return a refusal while no endpoint of the service wants a request.
 
