Read callers' connections by 8 KB, so that what isn't counted yet stays small

What callers saw: clients that nobody controls ended a process, which ran out of memory, though all request bodies together have a limit.

Cause, counted inside the process at the peak of 450 clients that send at once: streams had read 64 KB ahead on each connection (up to 25 MB), and up to three variables of the HTTP library's reader held a part of 64 KB each on its way to the body (14 to 39 MB), also of connections that had been closed and not yet collected. None of it is in the account of bodies, which kept to its 20 MB.

Change: 8 KB are read at once. What a connection holds beside the account is 32 KB at most. The limits that callers meet are as they were.

--- a/src/sesamespoke/request_server.py
+++ b/src/sesamespoke/request_server.py
@@ -27,7 +27,9 @@
 
 MAX_BUFFER_BYTES = 1_048_576
 MAX_HEAD_BYTES = 65_536
-CHUNK_BYTES = 65_536
+CHUNK_BYTES = 8192
+"""Bytes read from a connection at once. Until they are counted as a body's, the
+stream and each step of its reader may hold as many."""
 IDLE_SECONDS = 120
 BODY_SECONDS = 60
 LISTEN_BACKLOG = 1024
