Hold no request against the demand that it adds itself

Cause: a request's tokens were added to its account's demand before its part within the level was read, so that a large request of an account within its share looked beyond it.

Change: the part is read first.

Result: test_large_request_is_refused_for_its_own_demand failed before.

--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -136,10 +136,12 @@
         it is also a retry. Part of the answer may have been delivered, so that
         it comes before the new requests and may use all capacity.
         """
-        was_tried = was_tried or is_retry
+        # A request's own demand would make a large one look beyond the level.
+        part = self._part_of(job)
         if not was_tried:
             self._record_request(job)
-        if not self._is_within_level(job, rank):
+        was_tried = was_tried or is_retry
+        if rank >= part:
             return self._admit_beyond_level(job, reserve)
         max_wait = job.route.objective * MAX_WAIT_FRACTION
         may_wait = was_tried or not self._exceeds_wait(job, max_wait)
@@ -179,13 +181,14 @@
         left = self._shares.take_back_usage(job.account, cost_of(job), age)
         self.on_grant(job.account, -left)
 
-    def _is_within_level(self, job: Job, rank: float) -> bool:
-        """Return whether a request is within its account's part of the work.
+    def _part_of(self, job: Job) -> float:
+        """Return the part of such requests that is within the level, 0 to 1.
 
         The level is one of tokens; a call without any takes nothing from it.
         """
-        part = self._shares.admitted_part(job.account)
-        return rank < part or not job.prompt.input_tokens
+        if not job.prompt.input_tokens:
+            return 1
+        return self._shares.admitted_part(job.account)
 
     def _admit_beyond_level(
         self, job: Job, reserve: Reserve[GrantT]
--- a/tests/test_serving_admission.py
+++ b/tests/test_serving_admission.py
@@ -408,6 +408,30 @@
     run(steps())
 
 
+def test_large_request_is_refused_for_its_own_demand() -> None:
+    async def steps() -> None:
+        loop = asyncio.get_running_loop()
+        shares = FairShares(loop.time)
+        limits: list[float] = []
+
+        def reserve(job: Job, utilisation_limit: float) -> str | None:
+            limits.append(utilisation_limit)
+            return job.request_id
+
+        queue = AdmissionQueue[str](shares, loop.time, lambda grant: None)
+        for account, demand, usage in (
+            ('large', 40_000, 40_000),
+            ('other', 900_000, 35_000),
+        ):
+            shares.add_demand(account, demand)
+            shares.add_usage(account, usage)
+        job = job_of('large', arrived_at=loop.time())
+        await queue.admit(job, reserve, rank=0.95)
+        assert limits[0] > MIN_UTILISATION_LIMIT
+
+    run(steps())
+
+
 def test_plain_call_is_refused_for_its_accounts_use_of_engines() -> None:
     async def steps() -> None:
         loop = asyncio.get_running_loop()
