Hear of endpoints' answers from a host whose clock went back

The numbers of hosts that have left the view are forgotten.

test_host_that_restarts_with_an_earlier_clock_is_heard_no_more failed before.

--- a/src/sesamespoke/serving/outlier_sharing.py
+++ b/src/sesamespoke/serving/outlier_sharing.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from sesamespoke.links import Links
+from sesamespoke.links import Links, View
 from sesamespoke.metrics import Metrics
 from sesamespoke.routing_messages import EndpointAnswers, EndpointTrial
 from sesamespoke.serving.ejections import Change, Trial
@@ -46,6 +46,7 @@
         detector.ejections.on_trial = self._tell_trial
         links.subscribe(EndpointAnswers, self._hear)
         links.subscribe(EndpointTrial, self._hear_trial)
+        links.on_view(self._forget_departed)
 
     async def run(self) -> None:
         """Judge endpoints and send reports until cancelled."""
@@ -72,6 +73,12 @@
             self._heard[sender] = message.number
             self._detector.add(message.rows)
 
+    def _forget_departed(self, view: View) -> None:
+        """Forget the numbers of hosts that left: a clock may have gone back."""
+        hosts = frozenset(view.hosts())
+        for host in self._heard.keys() - hosts:
+            del self._heard[host]
+
     def _tell_trial(self, trial: Trial) -> None:
         self._broadcast(
             EndpointTrial(
--- a/tests/test_outlier_detection.py
+++ b/tests/test_outlier_detection.py
@@ -305,6 +305,24 @@
     play(steps)
 
 
+def test_host_that_restarts_with_an_earlier_clock_is_heard_no_more() -> None:
+    async def steps() -> None:
+        hosts = Hosts(ENGINE, 8, 2)
+        first = hosts.hosts[0]
+        note_sound_everywhere(hosts, first, times=4)
+        rows = tuple((BAD, 0, cause, 1.0, 0.0) for cause in range(1, 20))
+        later = hosts.network.links['h-1']
+        later.send('h-0', EndpointAnswers(9_000_000_000_000, ()))
+        await asyncio.sleep(REPORTING_SECONDS)
+        hosts.network.kill('h-1')
+        earlier = hosts.network.join('h-1', 'north')
+        earlier.send('h-0', EndpointAnswers(5, rows))
+        await asyncio.sleep(REPORTING_SECONDS)
+        assert first.ejected() == {BAD}
+
+    play(steps)
+
+
 def test_endpoint_that_restarts_under_its_name_stays_ejected() -> None:
     async def steps() -> None:
         hosts = Hosts(ENGINE, 8, 3, fails_at(BAD))
