Send nothing to an ejected endpoint while others wait for their rate

It is a fallback now only if all endpoints in use are ejected.

test_ejected_endpoint_takes_all_while_others_are_out_of_rate failed before.

--- a/src/sesamespoke/serving/chooser.py
+++ b/src/sesamespoke/serving/chooser.py
@@ -251,15 +251,16 @@
 
         A paused endpoint is returned only if no other one is usable.
         """
-        fallback: ListedEndpoint | None = None
+        paused: list[ListedEndpoint] = []
         for name in ranked:
             endpoint = self._directory.endpoints[name]
             if name in avoided or not self._accepts_work(service, endpoint):
                 continue
             if not self._is_paused(name):
                 return self._candidate(endpoint)
-            fallback = fallback or endpoint
-        return None if fallback is None else self._candidate(fallback)
+            paused.append(endpoint)
+        fallback = self._without_ejected(service, paused)
+        return self._candidate(fallback[0]) if fallback else None
 
     def _sample(
         self,
@@ -306,7 +307,8 @@
     ) -> list[Candidate]:
         """Return the endpoints that may be used now.
 
-        If all of them are paused after failures, all are returned.
+        If all of them are paused after failures, all are returned except
+        ejected ones.
         """
         allowed = [
             endpoint
@@ -320,7 +322,25 @@
             for endpoint in allowed
             if not self._is_paused(endpoint.name)
         ]
-        return [self._candidate(endpoint) for endpoint in healthy or allowed]
+        chosen = healthy or self._without_ejected(service, allowed)
+        return [self._candidate(endpoint) for endpoint in chosen]
+
+    def _without_ejected(
+        self, service: RoutedService, endpoints: list[ListedEndpoint]
+    ) -> list[ListedEndpoint]:
+        """Return the endpoints that aren't ejected, or all if all others are.
+
+        Others that may only be sent no request now would leave everything to
+        one that fails.
+        """
+        usable = self._directory.usable(service.name)
+        if all(self.outliers.is_ejected(each.name) for each in usable):
+            return endpoints
+        return [
+            endpoint
+            for endpoint in endpoints
+            if not self.outliers.is_ejected(endpoint.name)
+        ]
 
     def _candidate(self, endpoint: ListedEndpoint) -> Candidate:
         return Candidate(
--- a/tests/test_outlier_detection.py
+++ b/tests/test_outlier_detection.py
@@ -198,6 +198,25 @@
     play(steps)
 
 
+def test_ejected_endpoint_takes_all_while_others_are_out_of_rate() -> None:
+    async def steps() -> None:
+        hosts = Hosts(ENGINE, 6, 1, fails_at(BAD))
+        await hosts.send_for(1)
+        host = hosts.hosts[0]
+        assert host.ejected() == {BAD}
+        clock = asyncio.get_running_loop().time
+        for endpoint in hosts.endpoints:
+            if endpoint.name != BAD:
+                host.chooser.limits.note_answer(endpoint, '1', clock())
+        sent = hosts.sent[BAD]
+        for _ in range(40):
+            hosts.send(host, hosts.make_job())
+        await asyncio.sleep(0)
+        assert hosts.sent[BAD] == sent
+
+    play(steps)
+
+
 def test_endpoint_that_has_recovered_gets_no_work() -> None:
     async def steps() -> None:
         hosts = Hosts(ENGINE, 8, 4, fails_at(BAD))
