Take back the charge of a request whose caller left before it was sent

An account's charge stayed if its caller left while the connection to an endpoint was still being opened, or as the grant came (found by the review). Callers that give up on dead endpoints then look served.

--- a/src/sesamespoke/serving/admission.py
+++ b/src/sesamespoke/serving/admission.py
@@ -347,6 +347,7 @@
         grant = waiter.fut.result()
         if not isinstance(grant, Refusal):
             self._release(grant)
+            self.take_back(waiter.job, self._clock())
 
     def _reject_expired(self) -> None:
         now = self._clock()
--- a/src/sesamespoke/serving/serving_call.py
+++ b/src/sesamespoke/serving/serving_call.py
@@ -231,7 +231,7 @@
         try:
             attempt = await exchange.run()
         except asyncio.CancelledError:
-            self._note_unanswered(reservation, exchange)
+            self._note_unanswered(reservation, exchange, granted_at)
             deps.crash_tracker.end_attempt(job)
             self._note_duration(exchange)
             self._log_end('caller_left', None)
@@ -268,10 +268,14 @@
         self._duration = duration_fields(exchange.sent_at, self._loop.time())
 
     def _note_unanswered(
-        self, reservation: Reservation, exchange: Exchange
+        self, reservation: Reservation, exchange: Exchange, granted_at: float
     ) -> None:
         """Count the time that a caller has waited before it left."""
-        if exchange.sent_at is None or exchange.first_byte_at is not None:
+        if exchange.sent_at is None:
+            queue = self._deps.admission_queue(self._job.service)
+            queue.take_back(self._job, granted_at)
+            return
+        if exchange.first_byte_at is not None:
             return
         waited_ms = (self._loop.time() - exchange.sent_at) * MS_PER_SECOND
         placement = reservation.placement
--- a/tests/test_serving_admission.py
+++ b/tests/test_serving_admission.py
@@ -191,6 +191,7 @@
         await asyncio.gather(request, return_exceptions=True)
         assert pool.free_slots == 1
         assert not pool.queues[0].waiting
+        assert pool.shares[0].used('a') == pytest.approx(0)
 
     run(steps())
 
