--- a/src/sesamespoke/cli_fairness.py
+++ b/src/sesamespoke/cli_fairness.py
@@ -94,7 +94,7 @@
 
     \b
     Example:
-      sesamespoke fairness --account kalathi routers.log
+      sesamespoke fairness --account acme routers.log
     """
     tally = Tally(watched=account)
     for stream in files:
